Serve the platform's requests through a mesh daemon

Cause: nothing in the product speaks the users' platform. Change: core/routing, core/directory, core/replica, core/slots and core/dispatch decide; mesh does the I/O; platform translates. The former platform package, the client of the product's own configuration service, is now configsource. Weighed: pushing whole requests against asking for a slot first; non-idempotent requests ask first, idempotent ones travel with the question.

--- a/platform/platform.go
+++ b/configsource/platform.go
@@ -1,4 +1,4 @@
-package platform
+package configsource
 
 import (
 	"context"
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -7,10 +7,10 @@
 	"go.uber.org/zap"
 
 	"github.com/hawthornpoint/hawthornpoint/config"
+	"github.com/hawthornpoint/hawthornpoint/configsource"
 	"github.com/hawthornpoint/hawthornpoint/core/membership"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
 	"github.com/hawthornpoint/hawthornpoint/operator"
-	"github.com/hawthornpoint/hawthornpoint/platform"
 )
 
 const (
@@ -180,17 +180,17 @@
 }
 
 func (d *Daemon) configLoop() {
-	poller := platform.NewPoller(d.rand)
+	poller := configsource.NewPoller(d.rand)
 	d.poll(poller, d.pollConfig)
 }
 
 func (d *Daemon) listLoop() {
-	poller := platform.NewPoller(d.rand)
+	poller := configsource.NewPoller(d.rand)
 	d.poll(poller, d.pollList)
 }
 
 // poll reads from the platform at once and then at the poller's intervals.
-func (d *Daemon) poll(poller *platform.Poller, read func(context.Context) error) {
+func (d *Daemon) poll(poller *configsource.Poller, read func(context.Context) error) {
 	var err error
 	once := func() {
 		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,11 +12,11 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/configsource"
 	"github.com/hawthornpoint/hawthornpoint/core/membership"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
 	"github.com/hawthornpoint/hawthornpoint/exchange"
 	"github.com/hawthornpoint/hawthornpoint/operator"
-	"github.com/hawthornpoint/hawthornpoint/platform"
 	"github.com/hawthornpoint/hawthornpoint/settings"
 )
 
@@ -41,8 +41,8 @@
 type Options struct {
 	Settings settings.Settings
 	Network  Network
-	Configs  platform.ConfigSource
-	VMs      platform.VMList
+	Configs  configsource.ConfigSource
+	VMs      configsource.VMList
 	Logger   *zap.Logger
 	// Rand is the source of random choices; nil selects a random seed.
 	Rand *rand.Rand
@@ -120,10 +120,10 @@
 	}
 	transport := &http.Transport{DialContext: opts.Network.DialContext, IdleConnTimeout: idleConnectionLife}
 	if opts.Configs == nil {
-		opts.Configs = platform.NewHTTPConfigSource(opts.Settings.Platform.ConfigURL, transport, platformTimeout)
+		opts.Configs = configsource.NewHTTPConfigSource(opts.Settings.Platform.ConfigURL, transport, platformTimeout)
 	}
 	if opts.VMs == nil {
-		opts.VMs = platform.NewHTTPVMList(opts.Settings.Platform.VMsURL, transport, platformTimeout)
+		opts.VMs = configsource.NewHTTPVMList(opts.Settings.Platform.VMsURL, transport, platformTimeout)
 	}
 	return transport
 }
--- a/exchange/measure_test.go
+++ b/exchange/measure_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/hawthornpoint/hawthornpoint/platform"
+	"github.com/hawthornpoint/hawthornpoint/configsource"
 )
 
 // Guards against figures in docs/control.md that nobody can repeat. It measures
@@ -39,7 +39,7 @@
 	t.Logf("daemons=720 extrapolated: cpu_percent_of_core=%.3f heap_kb=%.0f",
 		(cpu[2]+max(0, slope(sizes, cpu))*(720-144))*100, (heap[2]+max(0, slope(sizes, heap))*(720-144))/1024)
 	for _, n := range []int{12, 48, 144, 720} {
-		t.Logf("daemons=%d platform_reads_s=%.0f of 2000, interval=%s", n, 2*float64(n)/platform.Interval(n).Seconds(), platform.Interval(n))
+		t.Logf("daemons=%d platform_reads_s=%.0f of 2000, interval=%s", n, 2*float64(n)/configsource.Interval(n).Seconds(), configsource.Interval(n))
 	}
 }
 
--- /dev/null
+++ b/mesh/daemon.go
@@ -0,0 +1,326 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/hawthornpoint/hawthornpoint/core/directory"
+	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+	"github.com/hawthornpoint/hawthornpoint/core/replica"
+	"github.com/hawthornpoint/hawthornpoint/core/routing"
+	"github.com/hawthornpoint/hawthornpoint/core/slots"
+)
+
+const (
+	// tickInterval is how often waiting requests and expiries are looked at.
+	tickInterval = 50 * time.Millisecond
+	// unknownSlots is used until the local backend server has registered.
+	unknownSlots = 8
+	// maxHeaderBytes bounds a request's header where the configuration does not.
+	maxHeaderBytes = 64 << 10
+	// stopShare is the share of the grace time after which a stopping daemon cuts what is
+	// still in flight; the rest is left for the end of the process.
+	stopShare = 0.9
+	// minStop is the shortest time for which a stopping daemon goes on: callers are sent
+	// elsewhere after two health checks, one second apart.
+	minStop = 2500 * time.Millisecond
+)
+
+// Settings describe one daemon. All addresses are host and port.
+type Settings struct {
+	// Name is the name of the VM.
+	Name, Zone string
+	// Service is the service of the local backend server at BackendAddress.
+	Service, BackendAddress string
+	// CallerAddress takes requests of callers and of the local backend server,
+	// PeerAddress and ControlAddress calls of other daemons, ReadyAddress health checks.
+	// ControlAddress and MetricsAddress may be empty.
+	CallerAddress, PeerAddress, ControlAddress, ReadyAddress, MetricsAddress string
+	// ReadyPath is the path of the health check.
+	ReadyPath string
+	// Seeds are control addresses of some daemons; they may be out of date.
+	Seeds []string
+	// RetryRatio, RetrySlack and RetryWindow bound repeats over the whole fleet.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+}
+
+// Options holds what a daemon needs beside its settings.
+type Options struct {
+	Settings Settings
+	Dialect  Dialect
+	Store    Store
+	Decoder  Decoder
+	// Logger, Rand, Listen and Dial have defaults.
+	Logger *zap.Logger
+	Rand   *rand.Rand
+	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Daemon is one running daemon. Its methods are safe for concurrent use.
+type Daemon struct {
+	opts     Options
+	set      Settings
+	log      *zap.Logger
+	dialect  Dialect
+	counters *counters
+	started  time.Time
+	peerPort string
+	backend  *backend
+	attempts atomic.Uint64
+	routes   atomic.Pointer[routing.Table]
+
+	mu         sync.Mutex // guards what follows
+	dir        *directory.Directory
+	replica    replica.Replica
+	splitter   routing.Splitter
+	dispatcher *dispatch.Dispatcher
+	station    *slots.Station
+	waiting    map[uint64]*held // by station ID
+	lastID     uint64
+	inFlight   int
+	stopping   bool
+	storeAway  bool
+	newerAt    string // upstream address of a peer that holds a newer replica
+
+	peersMu sync.Mutex // guards peers
+	peers   map[string]*peer
+
+	synced chan struct{} // wakes the peer synchronization
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	workersMu sync.Mutex // orders the end of ctx against new workers
+	workers   sync.WaitGroup
+	servers   []*http.Server
+	listeners []net.Listener
+}
+
+// New returns a daemon that has not opened its listeners yet.
+func New(opts Options) *Daemon {
+	if opts.Logger == nil {
+		opts.Logger = zap.NewNop()
+	}
+	if opts.Rand == nil {
+		opts.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if opts.Listen == nil {
+		opts.Listen = net.Listen
+	}
+	if opts.Dial == nil {
+		opts.Dial = Dial
+	}
+	set := opts.Settings
+	d := &Daemon{
+		opts: opts, set: set, log: opts.Logger, dialect: opts.Dialect, counters: newCounters(),
+		started: time.Now(), dir: directory.New(), station: slots.New(unknownSlots),
+		waiting: make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.backend = &backend{address: set.BackendAddress, dial: opts.Dial, opened: d.counters.backendConnection}
+	d.dispatcher = dispatch.New(dispatch.Config{
+		Zone: set.Zone, Rand: opts.Rand,
+		BudgetRatio: set.RetryRatio, BudgetSlack: set.RetrySlack, BudgetWindow: set.RetryWindow,
+	}, d.dir)
+	return d
+}
+
+// Start opens the listeners and begins to serve.
+func (d *Daemon) Start() error {
+	_, port, err := net.SplitHostPort(d.set.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	d.peerPort = port
+	if err := d.listenAll(); err != nil {
+		d.Close()
+		return err
+	}
+	d.work(d.tickLoop)
+	d.work(d.storeLoop)
+	d.work(d.peerLoop)
+	d.log.Info("started", zap.String("name", d.set.Name), zap.String("zone", d.set.Zone),
+		zap.String("service", d.set.Service), zap.String("backend", d.set.BackendAddress))
+	return nil
+}
+
+func (d *Daemon) listenAll() error {
+	for _, address := range []string{d.set.PeerAddress, d.set.ControlAddress} {
+		if address == "" {
+			continue
+		}
+		l, err := d.listen(address)
+		if err != nil {
+			return err
+		}
+		d.work(func() { d.servePeers(l) })
+	}
+	if err := d.serveHTTP(d.set.CallerAddress, http.HandlerFunc(d.serveCaller), true); err != nil {
+		return err
+	}
+	if err := d.serveHTTP(d.set.ReadyAddress, http.HandlerFunc(d.serveReady), false); err != nil {
+		return err
+	}
+	if d.set.MetricsAddress == "" {
+		return nil
+	}
+	return d.serveHTTP(d.set.MetricsAddress, http.HandlerFunc(d.serveMetrics), false)
+}
+
+func (d *Daemon) listen(address string) (net.Listener, error) {
+	l, err := d.opts.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	d.listeners = append(d.listeners, l)
+	return l, nil
+}
+
+func (d *Daemon) serveHTTP(address string, handler http.Handler, ahead bool) error {
+	l, err := d.listen(address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(d.log),
+		DisableGeneralOptionsHandler: true,
+	}
+	if ahead {
+		l, server.ConnContext = aheadListener{l}, connContext
+	}
+	d.servers = append(d.servers, server)
+	d.work(func() {
+		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("listener failed", zap.String("address", address), zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// serveReady answers the health check: 200 while the daemon takes new work.
+func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != d.set.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if d.isStopping() || d.table() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *Daemon) table() *routing.Table { return d.routes.Load() }
+
+func (d *Daemon) isStopping() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopping
+}
+
+func (d *Daemon) nextAttempt() uint64 { return d.attempts.Add(1) }
+
+func (d *Daemon) flightEnded() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight--
+}
+
+func (d *Daemon) tickLoop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.tick(time.Now())
+	}
+}
+
+func (d *Daemon) tick(now time.Time) {
+	d.mu.Lock()
+	d.dispatchEvents(d.station.Tick(now))
+	gone := d.dir.Expire(now)
+	if len(gone) > 0 {
+		d.dispatcher.Forget()
+	}
+	d.mu.Unlock()
+	for _, id := range gone {
+		d.log.Info("upstream gone", zap.String("upstream", id), zap.String("reason", "not listed after the return of the store"))
+	}
+	d.backend.closeIdle(now, false)
+}
+
+// work runs f in a goroutine that Close waits for. After Close it does nothing.
+func (d *Daemon) work(f func()) {
+	d.workersMu.Lock()
+	defer d.workersMu.Unlock()
+	if d.ctx.Err() != nil {
+		return
+	}
+	d.workers.Add(1)
+	go func() {
+		defer d.workers.Done()
+		f()
+	}()
+}
+
+// Shutdown stops gracefully: it takes no new work from other daemons, finishes what is in
+// flight, asks callers to close their connections, and ends when it is idle or the grace
+// time is nearly over.
+func (d *Daemon) Shutdown() {
+	begun := time.Now()
+	d.mu.Lock()
+	d.stopping = true
+	d.station.Close()
+	d.mu.Unlock()
+	d.log.Info("stopping", zap.Duration("grace", d.set.Grace))
+	limit := begun.Add(time.Duration(stopShare * float64(d.set.Grace)))
+	for now := begun; now.Before(limit); now = time.Now() {
+		if now.Sub(begun) >= minStop && d.idle() {
+			break
+		}
+		time.Sleep(tickInterval)
+	}
+	ctx, cancel := context.WithDeadline(d.ctx, limit)
+	defer cancel()
+	for _, s := range d.servers {
+		_ = s.Shutdown(ctx) // what is left is cut by Close
+	}
+	d.log.Info("stopped", zap.Bool("idle", d.idle()), zap.Duration("after", time.Since(begun)))
+	d.Close()
+}
+
+func (d *Daemon) idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inFlight == 0 && d.station.Load().Running == 0
+}
+
+// Close stops at once and cuts what is in flight.
+func (d *Daemon) Close() {
+	d.workersMu.Lock()
+	d.cancel()
+	d.workersMu.Unlock()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
+	d.backend.closeIdle(time.Now(), true)
+	d.workers.Wait()
+}
--- /dev/null
+++ b/mesh/local.go
@@ -0,0 +1,300 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/hawthornpoint/hawthornpoint/core/slots"
+	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
+)
+
+// grantLife is how long a granted slot is held for the request. It covers the round trip
+// between two regions several times.
+const grantLife = 500 * time.Millisecond
+
+// held is an attempt at the local backend server, from the question to the end.
+type held struct {
+	id       uint64 // at the station
+	instance string
+	kind     string
+	// ctx ends when the caller has gone; cancel ends it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// stopRun ends the time limit of the run.
+	stopRun context.CancelFunc
+	// decided receives the decision about a waiting request.
+	decided chan slots.Decision
+	release *time.Timer // gives a granted slot back
+	// rest is the part of a long answer that was not passed on yet.
+	rest *exchange
+	// body receives the further parts of a long request once ready is closed.
+	body  *io.PipeWriter
+	ready chan struct{}
+}
+
+func newHeld(ctx context.Context) *held {
+	h := &held{ready: make(chan struct{})}
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	return h
+}
+
+// ask asks the station for a slot and, when the request came with the question, runs it.
+// The attempt ends with its context.
+func (d *Daemon) ask(h *held, a *AskArgs) Reply {
+	h.instance, h.kind = a.Instance, a.Kind
+	deadline := time.Now().Add(a.Left)
+	decision, refused := d.arrive(h, a)
+	if refused != 0 {
+		return d.reply(refused, decision)
+	}
+	if decision.Verdict == slots.Wait {
+		decision = d.awaitSlot(h, a.Left)
+	}
+	switch {
+	case decision.Verdict != slots.Start:
+		return d.reply(OutcomeRefused, decision)
+	case h.ctx.Err() != nil:
+		d.withdraw(h, "time_over")
+		return d.reply(OutcomeUnsent, decision)
+	case a.Payload == nil:
+		h.release = time.AfterFunc(grantLife, func() { d.withdraw(h, "grant_unused") })
+		return d.reply(OutcomeGranted, decision)
+	}
+	return d.run(h, a.Payload, time.Until(deadline))
+}
+
+// arrive asks the station. An outcome other than 0 refuses the attempt.
+func (d *Daemon) arrive(h *held, a *AskArgs) (slots.Decision, Outcome) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own, known := d.dir.At(d.set.BackendAddress)
+	if d.stopping || known && own.ID == a.Instance && own.Draining {
+		return slots.Decision{Reason: slots.Closed}, OutcomeLeaving
+	}
+	d.lastID++
+	h.id = d.lastID
+	decision := d.station.Arrive(now, slots.Ticket{
+		ID: h.id, Kind: a.Kind, Rank: a.Rank, MayQueue: a.MayQueue,
+		Objective: now.Add(a.UntilObjective), Deadline: now.Add(a.Left),
+	})
+	switch decision.Verdict {
+	case slots.Refuse:
+		return decision, OutcomeRefused
+	case slots.Wait:
+		h.decided = make(chan slots.Decision, 1)
+		d.waiting[h.id] = h
+	}
+	return decision, 0
+}
+
+func (d *Daemon) awaitSlot(h *held, left time.Duration) slots.Decision {
+	over := time.NewTimer(left)
+	defer over.Stop()
+	select {
+	case decision := <-h.decided:
+		return decision
+	case <-h.ctx.Done():
+	case <-over.C:
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case decision := <-h.decided:
+		return decision
+	default:
+	}
+	delete(d.waiting, h.id)
+	d.station.Cancel(h.id)
+	return slots.Decision{Verdict: slots.Refuse, Reason: slots.TooLate}
+}
+
+// dispatchEvents passes the station's events to those that wait. d.mu is held.
+func (d *Daemon) dispatchEvents(events []slots.Event) {
+	for _, e := range events {
+		if h := d.waiting[e.ID]; h != nil {
+			delete(d.waiting, e.ID)
+			h.decided <- e.Decision
+		}
+	}
+}
+
+// done gives the slot back.
+func (d *Daemon) done(h *held, o slots.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dispatchEvents(d.station.Done(time.Now(), h.id, o))
+}
+
+// withdraw gives a granted slot back that was not used.
+func (d *Daemon) withdraw(h *held, reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dispatchEvents(d.station.Cancelled(time.Now(), h.id))
+	d.log.Debug("grant withdrawn", zap.String("reason", reason))
+}
+
+// claim turns a granted slot into a run. It reports false when the slot was given back.
+func (h *held) claim() bool { return h.release != nil && h.release.Stop() }
+
+func (d *Daemon) reply(o Outcome, decision slots.Decision) Reply {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Reply{
+		Outcome: o, Reason: string(decision.Reason), Wait: decision.Wait,
+		Load: d.station.Load(), AsOf: d.replica.AsOf(),
+	}
+}
+
+// run sends a request to the backend server. The caller holds a slot, which run gives back.
+func (d *Daemon) run(h *held, p *Payload, left time.Duration) Reply {
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(h.ctx, started.Add(left))
+	h.stopRun = cancel
+	req, err := d.backendRequest(ctx, h, p, left)
+	if err != nil {
+		cancel()
+		d.done(h, slots.Outcome{Failed: true})
+		return d.reply(OutcomeUnsent, slots.Decision{Reason: "bad_request"})
+	}
+	x, sent, err := d.backend.roundTrip(ctx, req)
+	if err != nil {
+		cancel()
+		return d.failed(ctx, h, p, sent, err)
+	}
+	return d.read(ctx, h, p, x, started)
+}
+
+func (d *Daemon) backendRequest(ctx context.Context, h *held, p *Payload, left time.Duration) (*http.Request, error) {
+	target, err := url.ParseRequestURI(p.Target)
+	if err != nil {
+		return nil, errors.Wrap(err, "request target")
+	}
+	target.Scheme, target.Host = "http", d.set.BackendAddress
+	header := make(http.Header, len(p.Header)+4)
+	for name, values := range p.Header {
+		header[name] = values
+	}
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // keeps the library from adding one
+	}
+	d.dialect.Prepare(header, UpstreamHead{Left: left, Instance: h.instance, CallerService: p.CallerService})
+	req := &http.Request{Method: p.Method, URL: target, Host: p.Host, Header: header, ContentLength: p.Length,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	switch {
+	case p.More:
+		reader, writer := io.Pipe()
+		h.body = writer
+		close(h.ready)
+		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(p.Body), reader))
+	case len(p.Body) > 0:
+		req.ContentLength = int64(len(p.Body))
+		req.Body = io.NopCloser(bytes.NewReader(p.Body))
+	default:
+		req.ContentLength = 0
+	}
+	return req.WithContext(ctx), nil
+}
+
+// failed classifies a request without an answer.
+func (d *Daemon) failed(ctx context.Context, h *held, p *Payload, sent bool, err error) Reply {
+	d.done(h, slots.Outcome{Failed: true})
+	outcome, reason := OutcomeLost, "no_answer"
+	switch {
+	case !sent && ctx.Err() == nil:
+		outcome, reason = OutcomeDown, "backend_down"
+	case !sent:
+		outcome, reason = OutcomeUnsent, "time_over"
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		outcome, reason = OutcomeExpired, "time_over"
+	}
+	d.log.Info("backend exchange failed", zap.String("id", p.RequestID), zap.String("kind", h.kind),
+		zap.Bool("sent", sent), zap.String("reason", reason), zap.Error(err))
+	return d.reply(outcome, slots.Decision{Reason: slots.Reason(reason)})
+}
+
+// read reads the first part of the answer.
+func (d *Daemon) read(ctx context.Context, h *held, p *Payload, x *exchange, started time.Time) Reply {
+	head := d.dialect.Answer(p.RequestID, x.response.StatusCode, x.response.Header)
+	if !head.OwnAnswer {
+		x.abort()
+		return d.failed(ctx, h, p, true, errors.New("the answer belongs to another request"))
+	}
+	data, last, err := readPart(x.response.Body, inlineBytes, x.response.ContentLength)
+	if err != nil {
+		x.abort()
+		return d.failed(ctx, h, p, true, errors.Wrap(err, "read body"))
+	}
+	elapsed := time.Since(started)
+	d.done(h, slots.Outcome{Elapsed: elapsed, Rejected: head.NotExecuted, Failed: head.Failed})
+	if last {
+		x.finish()
+		h.stopRun()
+	} else {
+		h.rest = x
+	}
+	switch {
+	case head.Misplaced:
+		return d.reply(OutcomeMisplaced, slots.Decision{Reason: "other_instance"})
+	case head.NotExecuted:
+		return d.reply(OutcomeRejected, slots.Decision{Reason: "backend_refused"})
+	}
+	r := d.reply(OutcomeAnswered, slots.Decision{})
+	r.Answer = &Answer{
+		Status: x.response.StatusCode, Header: hopheader.EndToEnd(x.response.Header), Failed: head.Failed,
+		Body: data, More: !last, Elapsed: elapsed,
+	}
+	return r
+}
+
+// more returns the next part of a long answer.
+func (h *held) more() (MoreReply, error) {
+	if h.rest == nil {
+		return MoreReply{}, errors.New("no answer under way")
+	}
+	data, last, err := readPart(h.rest.response.Body, inlineBytes, -1)
+	if err != nil {
+		h.rest.abort()
+		h.rest = nil
+		return MoreReply{}, errors.Wrap(err, "read body")
+	}
+	if last {
+		h.rest.finish()
+		h.rest = nil
+		h.stopRun()
+	}
+	return MoreReply{Data: data, Last: last}, nil
+}
+
+// abandon ends the attempt without a reader for what is left of it.
+func (h *held) abandon() {
+	h.cancel()
+	select {
+	case <-h.ready:
+		_ = h.body.CloseWithError(errors.New("the attempt is over"))
+	default:
+	}
+}
+
+// chunk passes a further part of the request's body on.
+func (h *held) chunk(data []byte, last bool) error {
+	select {
+	case <-h.ready:
+	case <-h.ctx.Done():
+		return errors.New("no body is due")
+	}
+	if _, err := h.body.Write(data); err != nil {
+		return errors.Wrap(err, "backend server takes no more of the body")
+	}
+	if last {
+		return h.body.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/sync.go
@@ -0,0 +1,255 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/hawthornpoint/hawthornpoint/core/replica"
+	"github.com/hawthornpoint/hawthornpoint/core/routing"
+)
+
+const (
+	// watchWait is how long the store keeps a read waiting for a change. Reads that a
+	// failing store swallowed end after it.
+	watchWait = 4 * time.Second
+	// answerSlack is how much later an answer of the store may come.
+	answerSlack = 700 * time.Millisecond
+	// listTimeout bounds the reading of the whole state.
+	listTimeout = 2 * time.Second
+	// firstStorePause and maxStorePause bound the pause after a failed read; it doubles
+	// with each further failure.
+	firstStorePause = 100 * time.Millisecond
+	maxStorePause   = time.Second
+	// failuresUntilAway is the number of failed reads in a row after which the store
+	// counts as out of reach. A single read may be cut in normal operation.
+	failuresUntilAway = 2
+	// peerSyncInterval is how often a peer is asked while the store is out of reach.
+	peerSyncInterval = 250 * time.Millisecond
+	// peerSyncTimeout bounds one exchange with a peer.
+	peerSyncTimeout = time.Second
+	// behindFor is how long the store may take to deliver what a peer already has.
+	behindFor = 100 * time.Millisecond
+)
+
+// storeLoop keeps the replica up to date from the store.
+func (d *Daemon) storeLoop() {
+	list, failures := true, 0
+	for d.ctx.Err() == nil {
+		update, err := d.readStore(list)
+		d.counters.add("store_reads")
+		switch {
+		case err == nil:
+			d.storeAnswered(failures)
+			d.apply(update, "store")
+			list, failures = false, 0
+			continue
+		case errors.Is(err, ErrCompacted):
+			d.log.Info("store history compacted", zap.Int64("revision", d.asOf()))
+			list = true
+			continue
+		case d.ctx.Err() != nil:
+			return
+		}
+		failures++
+		d.storeFailed(failures, err)
+		select {
+		case <-d.ctx.Done():
+		case <-time.After(min(firstStorePause<<min(failures-1, 8), maxStorePause)):
+		}
+	}
+}
+
+func (d *Daemon) readStore(list bool) (replica.Update, error) {
+	if list {
+		ctx, cancel := context.WithTimeout(d.ctx, listTimeout)
+		defer cancel()
+		return d.opts.Store.List(ctx)
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, watchWait+answerSlack)
+	defer cancel()
+	return d.opts.Store.Watch(ctx, d.asOf(), watchWait)
+}
+
+func (d *Daemon) asOf() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.replica.AsOf()
+}
+
+func (d *Daemon) storeAnswered(failures int) {
+	d.mu.Lock()
+	regained := d.storeAway
+	d.storeAway = false
+	d.dir.StoreBack(time.Now())
+	d.mu.Unlock()
+	if regained {
+		d.log.Info("store regained", zap.Int("failed_reads", failures))
+	}
+}
+
+func (d *Daemon) storeFailed(failures int, err error) {
+	d.counters.add("store_reads_failed")
+	if failures < failuresUntilAway {
+		return
+	}
+	d.mu.Lock()
+	lost := !d.storeAway
+	d.storeAway = true
+	d.dir.StoreAway()
+	d.mu.Unlock()
+	if lost {
+		d.log.Warn("store lost", zap.Int("failed_reads", failures), zap.Error(err))
+		d.wakePeerLoop()
+	}
+}
+
+// apply takes an update into the replica and puts its changes in force.
+func (d *Daemon) apply(u replica.Update, source string) {
+	now := time.Now()
+	d.mu.Lock()
+	changed := d.replica.Apply(u)
+	asOf := d.replica.AsOf()
+	d.mu.Unlock()
+	for _, item := range changed {
+		change, err := d.opts.Decoder.Decode(now, item)
+		if err != nil {
+			d.counters.add("items_unreadable")
+			d.log.Warn("item not readable", zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+			continue
+		}
+		d.change(now, change, item.Revision, source)
+	}
+	if len(changed) > 0 {
+		d.log.Debug("replica updated", zap.String("source", source), zap.Int64("revision", asOf), zap.Int("changes", len(changed)))
+	}
+}
+
+func (d *Daemon) change(now time.Time, c Change, revision int64, source string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case c.Config != nil:
+		d.configure(c.Config, revision, source)
+	case c.Upstream != nil:
+		u := *c.Upstream
+		d.dir.Put(u)
+		if u.Address == d.set.BackendAddress {
+			d.station.SetSlots(u.Slots)
+		}
+		d.log.Info("upstream listed", zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
+			zap.Bool("draining", u.Draining), zap.Int64("incarnation", u.Incarnation), zap.Int64("revision", revision), zap.String("source", source))
+	case c.Gone != "":
+		d.dir.Remove(now, c.Gone)
+		d.dispatcher.Forget()
+		d.log.Info("upstream removed", zap.String("upstream", c.Gone), zap.Bool("store_away", d.storeAway),
+			zap.Int64("revision", revision), zap.String("source", source))
+	}
+}
+
+// configure puts a newer configuration in force. d.mu is held.
+func (d *Daemon) configure(c *routing.Config, revision int64, source string) {
+	if t := d.table(); t != nil && c.Version <= t.Config().Version {
+		return
+	}
+	if err := c.Check(); err != nil {
+		d.counters.add("configs_refused")
+		d.log.Error("configuration refused", zap.Uint64("version", c.Version), zap.Int64("revision", revision), zap.Error(err))
+		return
+	}
+	d.routes.Store(routing.NewTable(c))
+	d.splitter.Reset()
+	d.counters.add("configs_accepted")
+	d.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)),
+		zap.Int64("revision", revision), zap.String("source", source))
+}
+
+// heardOf notes that a peer holds a newer replica.
+func (d *Daemon) heardOf(asOf int64, upstream string) {
+	d.mu.Lock()
+	newer := asOf > d.replica.AsOf() && d.newerAt == ""
+	if newer {
+		d.newerAt = upstream
+	}
+	d.mu.Unlock()
+	if newer {
+		d.wakePeerLoop()
+	}
+}
+
+func (d *Daemon) wakePeerLoop() {
+	select {
+	case d.synced <- struct{}{}:
+	default:
+	}
+}
+
+// peerLoop brings the replica up to date from peers while the store does not.
+func (d *Daemon) peerLoop() {
+	for d.ctx.Err() == nil {
+		interval := time.NewTimer(peerSyncInterval)
+		select {
+		case <-d.ctx.Done():
+		case <-interval.C:
+		case <-d.synced:
+			// The store may be about to deliver the same.
+			time.Sleep(behindFor)
+		}
+		interval.Stop()
+		if address := d.syncSource(); address != "" {
+			d.syncFrom(address)
+		}
+	}
+}
+
+// syncSource returns the address of the peer to ask, or an empty one.
+func (d *Daemon) syncSource() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	newer := d.newerAt
+	d.newerAt = ""
+	switch {
+	case newer != "":
+		return d.peerAddress(newer)
+	case !d.storeAway && d.replica.AsOf() > 0:
+		return ""
+	}
+	var known []string
+	for _, u := range d.dir.All() {
+		if u.Address != d.set.BackendAddress {
+			known = append(known, d.peerAddress(u.Address))
+		}
+	}
+	if len(known) == 0 {
+		for _, seed := range d.set.Seeds {
+			if seed != d.set.ControlAddress {
+				known = append(known, seed)
+			}
+		}
+	}
+	if len(known) == 0 {
+		return ""
+	}
+	return known[d.opts.Rand.IntN(len(known))]
+}
+
+func (d *Daemon) syncFrom(address string) {
+	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
+	defer cancel()
+	var reply SyncReply
+	if err := d.peer(address).call(ctx, "Sync", &SyncArgs{After: d.asOf()}, &reply); err != nil {
+		d.counters.add("peer_syncs_failed")
+		return
+	}
+	d.counters.add("peer_syncs")
+	d.apply(reply.Update, "peer "+address)
+}
+
+// Dial is the default of Options.Dial. It opens a connection that notices a peer that has gone silent.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive, Control: userTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
