Handle the requests of a connection side by side; count silence from the first waiting call

(2) The callers' connections were handled by net/http one request after the other, so that pipelined requests waited for each other past their timeout. Ruled out: lost packets (the peer answered within 3 ms). Change: silence counts from the first call that waits; internal/pipeline handles requests of a connection side by side and answers them in order.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -31,9 +31,9 @@
 	// absentRetryAfter is told when no upstream of the service is usable. Upstreams and
 	// daemons that restart are back in about this time.
 	absentRetryAfter = time.Second
-	// budgetShare is the part of the fleet's retry budget that is used. Calls that a
-	// repeated run makes count as repeats at the services below.
-	budgetShare = 0.5
+	// budgetShare is the part of the fleet's retry budget that is used. The rest covers what
+	// the calls of repeated runs exceed their expectation by.
+	budgetShare = 0.7
 )
 
 // Config describes the daemon and the bounds that it keeps.
@@ -66,13 +66,16 @@
 	}
 }
 
-// Open starts a flight for a request with the given time left.
-func (d *Dispatcher) Open(now time.Time, r *routing.Route, service string, left time.Duration) *Flight {
+// Open starts a flight for a request with the given time left. repeated is the probability
+// that the request is made by a run that is itself a repeat; it then counts as one.
+func (d *Dispatcher) Open(now time.Time, r *routing.Route, service string, left time.Duration, repeated float64) *Flight {
 	f := &Flight{
 		Route: r, Service: service, Arrived: now,
 		Objective: now.Add(r.Target), Deadline: now.Add(min(left, r.Timeout)),
 	}
-	d.budget(service).Request(now)
+	budget := d.budget(service)
+	budget.Request(now)
+	budget.Charge(now, repeated)
 	return f
 }
 
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -18,7 +18,7 @@
 
 type windowBucket struct {
 	number            int64
-	requests, repeats int
+	requests, repeats float64
 }
 
 // NewWindowBudget returns a budget of ratio repeats per request over the window, and slack
@@ -33,17 +33,21 @@
 // Request records a request for the destination.
 func (b *WindowBudget) Request(now time.Time) { b.at(now).requests++ }
 
+// Charge records requests that count as repeats, such as those that a repeated run makes,
+// without asking for room. A share below 1 is an expectation.
+func (b *WindowBudget) Charge(now time.Time, share float64) { b.at(now).repeats += share }
+
 // Allow takes one repeat from the budget and reports whether there was one.
 func (b *WindowBudget) Allow(now time.Time) bool {
 	current := b.at(now)
-	requests, repeats := 0, 0
+	requests, repeats := 0.0, 0.0
 	for i := range b.buckets {
 		if current.number-b.buckets[i].number <= windowBuckets {
 			requests += b.buckets[i].requests
 			repeats += b.buckets[i].repeats
 		}
 	}
-	if float64(repeats+1) > b.ratio*float64(requests)+b.slack {
+	if repeats+1 > b.ratio*requests+b.slack {
 		return false
 	}
 	current.repeats++
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -20,9 +20,6 @@
 // serveCaller handles a request of a caller on this VM or of the local backend server.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	c := &callerRequest{daemon: d, w: w, r: r, head: d.dialect.Request(r.Header), arrived: time.Now()}
-	if d.isStopping() {
-		w.Header().Set("Connection", "close")
-	}
 	if code := c.admit(); code != 0 {
 		c.refuse(code, 0, "not_admitted")
 		return
@@ -96,7 +93,7 @@
 	left -= time.Since(c.arrived)
 	now := time.Now()
 	d.mu.Lock()
-	c.flight = d.dispatcher.Open(now, c.route, d.splitter.Next(c.route), left)
+	c.flight = d.dispatcher.Open(now, c.route, d.splitter.Next(c.route), left, d.repeatedShare())
 	step := d.dispatcher.Next(now, c.flight)
 	d.inFlight++
 	d.mu.Unlock()
@@ -178,6 +175,7 @@
 	now := time.Now()
 	return &AskArgs{
 		ID: c.daemon.nextAttempt(), Instance: step.Upstream.ID, Kind: c.route.Name, Rank: c.route.Rank,
+		Repeat:         c.flight.Sent() > 0,
 		UntilObjective: c.flight.Objective.Sub(now), Left: c.flight.Deadline.Sub(now), MayQueue: step.MayQueue,
 	}
 }
@@ -187,8 +185,12 @@
 	if !c.more {
 		length = int64(len(c.body))
 	}
+	target := c.r.RequestURI
+	if c.r.URL.Host != "" {
+		target = c.r.URL.RequestURI() // the caller sent an absolute URI
+	}
 	return &Payload{
-		RequestID: c.head.ID, CallerService: c.daemon.set.Service, Method: c.r.Method, Target: c.r.RequestURI,
+		RequestID: c.head.ID, CallerService: c.daemon.set.Service, Method: c.r.Method, Target: target,
 		Host: c.r.Host, Header: hopheader.EndToEnd(c.r.Header), Body: c.body, More: c.more, Length: length,
 	}
 }
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
+	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 )
 
 const (
@@ -90,6 +91,7 @@
 	waiting    map[uint64]*held // by station ID
 	lastID     uint64
 	inFlight   int
+	repeats    int // local runs that are repeats
 	stopping   bool
 	storeAway  bool
 	newerAt    string // upstream address of a peer that holds a newer replica
@@ -103,6 +105,7 @@
 	cancel    context.CancelFunc
 	workersMu sync.Mutex // orders the end of ctx against new workers
 	workers   sync.WaitGroup
+	callers   pipeline.Server
 	servers   []*http.Server
 	listeners []net.Listener
 }
@@ -166,16 +169,16 @@
 		}
 		d.work(func() { d.servePeers(l) })
 	}
-	if err := d.serveHTTP(d.set.CallerAddress, http.HandlerFunc(d.serveCaller), true); err != nil {
+	if err := d.serveCallers(); err != nil {
 		return err
 	}
-	if err := d.serveHTTP(d.set.ReadyAddress, http.HandlerFunc(d.serveReady), false); err != nil {
+	if err := d.serveHTTP(d.set.ReadyAddress, http.HandlerFunc(d.serveReady)); err != nil {
 		return err
 	}
 	if d.set.MetricsAddress == "" {
 		return nil
 	}
-	return d.serveHTTP(d.set.MetricsAddress, http.HandlerFunc(d.serveMetrics), false)
+	return d.serveHTTP(d.set.MetricsAddress, http.HandlerFunc(d.serveMetrics))
 }
 
 func (d *Daemon) listen(address string) (net.Listener, error) {
@@ -187,7 +190,39 @@
 	return l, nil
 }
 
-func (d *Daemon) serveHTTP(address string, handler http.Handler, ahead bool) error {
+func (d *Daemon) serveCallers() error {
+	l, err := d.listen(d.set.CallerAddress)
+	if err != nil {
+		return err
+	}
+	d.callers.Handler = http.HandlerFunc(d.serveCaller)
+	d.callers.Limits = d.callerLimits
+	d.callers.Reject = func(remote net.Addr, status int, err error) {
+		d.counters.add("unparsable")
+		d.log.Info("request not parsed", zap.Stringer("remote", remote), zap.Int("status", status), zap.Error(err))
+	}
+	d.work(func() {
+		if err := d.callers.Serve(l); err != nil {
+			d.log.Error("listener failed", zap.String("address", d.set.CallerAddress), zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// callerLimits returns the limits of the configuration in force.
+func (d *Daemon) callerLimits() pipeline.Limits {
+	limits := pipeline.Limits{HeaderBytes: maxHeaderBytes}
+	if t := d.table(); t != nil {
+		l := t.Config().Limits
+		limits.HeaderTimeout, limits.IdleTimeout = l.HeaderTimeout, l.IdleTimeout
+		if l.HeaderBytes > 0 {
+			limits.HeaderBytes = l.HeaderBytes
+		}
+	}
+	return limits
+}
+
+func (d *Daemon) serveHTTP(address string, handler http.Handler) error {
 	l, err := d.listen(address)
 	if err != nil {
 		return err
@@ -196,9 +231,6 @@
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(d.log),
 		DisableGeneralOptionsHandler: true,
 	}
-	if ahead {
-		l, server.ConnContext = aheadListener{l}, connContext
-	}
 	d.servers = append(d.servers, server)
 	d.work(func() {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -287,6 +319,7 @@
 	d.stopping = true
 	d.station.Close()
 	d.mu.Unlock()
+	d.callers.Stop()
 	d.log.Info("stopping", zap.Duration("grace", d.set.Grace))
 	limit := begun.Add(time.Duration(stopShare * float64(d.set.Grace)))
 	for now := begun; now.Before(limit); now = time.Now() {
@@ -295,11 +328,7 @@
 		}
 		time.Sleep(tickInterval)
 	}
-	ctx, cancel := context.WithDeadline(d.ctx, limit)
-	defer cancel()
-	for _, s := range d.servers {
-		_ = s.Shutdown(ctx) // what is left is cut by Close
-	}
+	d.callers.CloseIdle()
 	d.log.Info("stopped", zap.Bool("idle", d.idle()), zap.Duration("after", time.Since(begun)))
 	d.Close()
 }
@@ -315,12 +344,13 @@
 	d.workersMu.Lock()
 	d.cancel()
 	d.workersMu.Unlock()
-	for _, s := range d.servers {
-		_ = s.Close()
-	}
 	for _, l := range d.listeners {
 		_ = l.Close()
 	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.callers.Close()
 	d.backend.closeIdle(time.Now(), true)
 	d.workers.Wait()
 }
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -24,6 +24,7 @@
 	id       uint64 // at the station
 	instance string
 	kind     string
+	repeat   bool
 	// ctx ends when the caller has gone; cancel ends it.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -48,7 +49,7 @@
 // ask asks the station for a slot and, when the request came with the question, runs it.
 // The attempt ends with its context.
 func (d *Daemon) ask(h *held, a *AskArgs) Reply {
-	h.instance, h.kind = a.Instance, a.Kind
+	h.instance, h.kind, h.repeat = a.Instance, a.Kind, a.Repeat
 	deadline := time.Now().Add(a.Left)
 	decision, refused := d.arrive(h, a)
 	if refused != 0 {
@@ -153,8 +154,30 @@
 	}
 }
 
+// countRepeat notes the start or the end of a run that is a repeat.
+func (d *Daemon) countRepeat(h *held, n int) {
+	if !h.repeat {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.repeats += n
+}
+
+// repeatedShare returns the share of the local runs that are repeats. Requests that the
+// local backend server makes do not say for which run; they are taken to be evenly made by
+// all. Requests of other callers are charged too, which errs on the safe side. d.mu is held.
+func (d *Daemon) repeatedShare() float64 {
+	if d.repeats == 0 {
+		return 0
+	}
+	return float64(d.repeats) / float64(max(d.station.Load().Running, d.repeats))
+}
+
 // run sends a request to the backend server. The caller holds a slot, which run gives back.
 func (d *Daemon) run(h *held, p *Payload, left time.Duration) Reply {
+	d.countRepeat(h, 1)
+	defer d.countRepeat(h, -1)
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(h.ctx, started.Add(left))
 	h.stopRun = cancel
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -40,6 +40,8 @@
 	// UntilObjective and Left are the times left.
 	UntilObjective, Left time.Duration
 	MayQueue             bool
+	// Repeat says that the request was sent to another upstream before.
+	Repeat bool
 	// Payload is the request itself, to be run as soon as there is a slot; nil asks for
 	// a grant only.
 	Payload *Payload
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -42,8 +42,8 @@
 // peerLink is one connection. It counts the calls under way.
 type peerLink struct {
 	client  *rpc.Client
-	conn    net.Conn
-	heard   atomic.Int64 // time of the last bytes, in ns since the daemon started
+	since   time.Time
+	heard   atomic.Int64 // time of the last bytes, in ns after since
 	pending atomic.Int64
 	broken  atomic.Bool
 }
@@ -116,9 +116,9 @@
 	if err != nil {
 		return nil, err
 	}
-	link := &peerLink{conn: c}
-	link.heard.Store(int64(time.Since(d.started)))
-	link.client = rpc.NewClient(&hearingConn{Conn: c, heard: func() { link.heard.Store(int64(time.Since(d.started))) }})
+	link := &peerLink{since: d.started}
+	link.hear()
+	link.client = rpc.NewClient(&hearingConn{Conn: c, heard: link.hear})
 	d.work(func() { p.watch(link) })
 	return link, nil
 }
@@ -136,7 +136,7 @@
 			return
 		case <-ticker.C:
 		}
-		silent := time.Since(d.started) - time.Duration(link.heard.Load())
+		silent := time.Since(link.since) - time.Duration(link.heard.Load())
 		switch pending := link.pending.Load(); {
 		case link.broken.Load():
 			link.close()
@@ -162,6 +162,8 @@
 	}
 }
 
+func (l *peerLink) hear() { l.heard.Store(int64(time.Since(l.since))) }
+
 func (l *peerLink) close() {
 	l.broken.Store(true)
 	_ = l.client.Close()
@@ -180,7 +182,9 @@
 	if l.broken.Load() {
 		return errUnreachable
 	}
-	l.pending.Add(1)
+	if l.pending.Add(1) == 1 {
+		l.hear() // silence counts from the first call that waits
+	}
 	defer l.pending.Add(-1)
 	call := l.client.Go(peerService+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
