Pack headers between daemons; judge failures against the best upstream; charge distance

Names of headers were most of a message, and an upstream whose calls failed counted as failing although all upstreams of its service failed alike. Change: headers travel packed and without those that the dialect restores; failures count by how far they exceed the best upstream's; a distant upstream is charged half a run time.

--- a/core/dispatch/beliefs.go
+++ b/core/dispatch/beliefs.go
@@ -17,8 +17,10 @@
 	// avoided; it doubles with each further silence.
 	firstSuspicion = 250 * time.Millisecond
 	maxSuspicion   = 2 * time.Second
-	// failingShare is the share of failed runs above which others are preferred.
-	failingShare = 0.15
+	// excessFailures is how far the share of failed runs of an upstream must be above that
+	// of the best one for others to be preferred. Failures of a service further down show
+	// at all upstreams alike, and going elsewhere does not help then.
+	excessFailures = 0.12
 	// failureWeight is the weight of one result in the share of failed runs, and
 	// failureLife the time in which half of it is forgotten, so that an upstream that is
 	// avoided is tried again.
@@ -127,9 +129,11 @@
 	return b.failing / (1 + float64(age)/float64(failureLife))
 }
 
-func (b *belief) fails(now time.Time) bool {
-	if b.failingNow(now) > failingShare {
-		return true
+// failureShare returns the share of failed runs as this daemon or the upstream's sees it.
+func (b *belief) failureShare(now time.Time) float64 {
+	share := b.failingNow(now)
+	if now.Sub(b.loadAt) < loadLife {
+		share = max(share, b.load.Failing)
 	}
-	return now.Sub(b.loadAt) < loadLife && b.load.Failing > failingShare
+	return share
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -22,6 +22,11 @@
 	// nearShare is the share of the time to the objective that the nearest upstream may
 	// be expected to need before others are considered.
 	nearShare = 0.7
+	// zoneCharge is what an upstream of another zone is charged, in usual run times. When
+	// all are full, distance does not help and traffic between zones is dear.
+	zoneCharge = 0.5
+	// failureCharge multiplies the cost of an upstream by its share of failed runs.
+	failureCharge = 8
 	// minSendTime is the shortest time left with which a request is sent.
 	minSendTime = 10 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound what refused callers are told. Below the
@@ -31,9 +36,10 @@
 	// absentRetryAfter is told when no upstream of the service is usable. Upstreams and
 	// daemons that restart are back in about this time.
 	absentRetryAfter = time.Second
-	// budgetShare is the part of the fleet's retry budget that is used. The rest covers what
-	// the calls of repeated runs exceed their expectation by.
-	budgetShare = 0.7
+	// budgetShare is the part of the fleet's retry budget that repeats towards one service
+	// use. A repeated run makes its calls again, which count as repeats too: with calls
+	// several levels deep, the shares of all levels add up at the lowest.
+	budgetShare = 0.2
 )
 
 // Config describes the daemon and the bounds that it keeps.
@@ -155,18 +161,27 @@
 
 // choose returns the upstream to ask next, and whether it is believed to have room.
 func (d *Dispatcher) choose(now time.Time, f *Flight, usable []*belief) (*belief, bool) {
+	tolerable := lowestFailures(now, usable) + excessFailures
 	if f.asked == 0 && d.cfg.Rand.IntN(exploreOneIn) == 0 {
-		if b := usable[d.cfg.Rand.IntN(len(usable))]; b.hasRoom(now) && !b.fails(now) {
+		if b := usable[d.cfg.Rand.IntN(len(usable))]; b.hasRoom(now) && b.failureShare(now) <= tolerable {
 			return b, true
 		}
 	}
-	if b := d.best(now, f, usable, true); b != nil && b.hasRoom(now) && !b.fails(now) && d.meets(now, f, b) {
+	if b := d.best(now, f, usable, true); b != nil && b.hasRoom(now) && b.failureShare(now) <= tolerable && d.meets(now, f, b) {
 		return b, true
 	}
 	b := d.best(now, f, usable, false)
 	return b, b.hasRoom(now)
 }
 
+func lowestFailures(now time.Time, usable []*belief) float64 {
+	lowest := 1.0
+	for _, b := range usable {
+		lowest = min(lowest, b.failureShare(now))
+	}
+	return lowest
+}
+
 // candidates returns the upstreams that may be asked: those that have not refused, without
 // the suspect ones if there are others.
 func (d *Dispatcher) candidates(now time.Time, f *Flight) []*belief {
@@ -229,10 +244,10 @@
 	expected := max(d.expected(f, b), time.Millisecond)
 	load := float64(b.occupied(now)) / float64(b.limit(now))
 	cost := float64(b.wait(now)) + float64(expected)*(1+load)
-	if b.fails(now) {
-		cost *= 4
+	if b.upstream.Zone != d.cfg.Zone {
+		cost += zoneCharge * float64(expected)
 	}
-	return cost
+	return cost * (1 + failureCharge*b.failureShare(now))
 }
 
 // Report takes the outcome of the attempt that is under way and returns the next step.
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -149,6 +149,11 @@
 	ctx, cancel := context.WithDeadline(ctx, c.flight.Deadline)
 	defer cancel()
 	ask := c.ask(step)
+	if step.Upstream.Zone == c.daemon.set.Zone {
+		c.daemon.counters.add("attempts_near")
+	} else {
+		c.daemon.counters.add("attempts_far")
+	}
 	var reply Reply
 	var answer *delivery
 	var result dispatch.Result
@@ -191,7 +196,7 @@
 	}
 	return &Payload{
 		RequestID: c.head.ID, CallerService: c.daemon.set.Service, Method: c.r.Method, Target: target,
-		Host: c.r.Host, Header: hopheader.EndToEnd(c.r.Header), Body: c.body, More: c.more, Length: length,
+		Host: c.r.Host, Header: c.daemon.headers.pack(hopheader.EndToEnd(c.r.Header)), Body: c.body, More: c.more, Length: length,
 	}
 }
 
@@ -327,14 +332,21 @@
 // it cannot look complete.
 func (c *callerRequest) deliver(a *delivery) {
 	h := c.w.Header()
-	for name, values := range a.answer.Header {
+	received, err := c.daemon.headers.unpack(a.answer.Header)
+	if err != nil {
+		a.drop()
+		c.refuse(codes.AttemptLost, 0, "header_code")
+		return
+	}
+	for name, values := range received {
 		h[name] = values
 	}
+	c.daemon.dialect.Restore(c.head.ID, h)
 	if !a.answer.More && c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	}
 	c.w.WriteHeader(a.answer.Status)
-	_, err := c.w.Write(a.answer.Body)
+	_, err = c.w.Write(a.answer.Body)
 	for more := a.answer.More; more && err == nil; {
 		var part MoreReply
 		if part, err = a.more(); err == nil {
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -75,6 +75,7 @@
 	set      Settings
 	log      *zap.Logger
 	dialect  Dialect
+	headers  *headerCodec
 	counters *counters
 	started  time.Time
 	peerPort string
@@ -126,7 +127,8 @@
 	}
 	set := opts.Settings
 	d := &Daemon{
-		opts: opts, set: set, log: opts.Logger, dialect: opts.Dialect, counters: newCounters(),
+		opts: opts, set: set, log: opts.Logger, dialect: opts.Dialect,
+		headers: newHeaderCodec(opts.Dialect.Names()), counters: newCounters(),
 		started: time.Now(), dir: directory.New(), station: slots.New(unknownSlots),
 		waiting: make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
 	}
@@ -153,6 +155,7 @@
 	d.work(d.tickLoop)
 	d.work(d.storeLoop)
 	d.work(d.peerLoop)
+	d.work(d.summaryLoop)
 	d.log.Info("started", zap.String("name", d.set.Name), zap.String("zone", d.set.Zone),
 		zap.String("service", d.set.Service), zap.String("backend", d.set.BackendAddress))
 	return nil
--- a/mesh/dialect.go
+++ b/mesh/dialect.go
@@ -23,6 +23,8 @@
 
 // UpstreamHead is what the backend server is told beside the request itself.
 type UpstreamHead struct {
+	// RequestID is the caller's ID of the request.
+	RequestID string
 	// Left is the time after which it stops work.
 	Left time.Duration
 	// Instance is the only upstream that may run the request; empty for any.
@@ -46,12 +48,18 @@
 // Dialect translates between HTTP headers and what they mean. Implementations are safe
 // for concurrent use.
 type Dialect interface {
-	// Request reads the head of a caller's request.
+	// Names returns the header names that are specific to the dialect.
+	Names() []string
+	// Request reads the head of a caller's request and removes its headers, all of which
+	// Prepare sets anew.
 	Request(h http.Header) RequestHead
 	// Prepare sets the headers of a request to the backend server.
 	Prepare(h http.Header, u UpstreamHead)
-	// Answer reads the head of an answer to the request with the ID.
+	// Answer reads the head of an answer to the request with the ID, and removes the
+	// header with the ID, which Restore sets again.
 	Answer(id string, status int, h http.Header) AnswerHead
+	// Restore completes the header of an answer that is passed on.
+	Restore(id string, h http.Header)
 	// Refuse sets the headers of an answer of the daemon's own and returns its status.
 	// after is when a refused caller may come back; 0 if it makes no difference.
 	Refuse(h http.Header, code codes.Code, after time.Duration) int
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -201,14 +201,14 @@
 		return nil, errors.Wrap(err, "request target")
 	}
 	target.Scheme, target.Host = "http", d.set.BackendAddress
-	header := make(http.Header, len(p.Header)+4)
-	for name, values := range p.Header {
-		header[name] = values
+	header, err := d.headers.unpack(p.Header)
+	if err != nil {
+		return nil, err
 	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps the library from adding one
 	}
-	d.dialect.Prepare(header, UpstreamHead{Left: left, Instance: h.instance, CallerService: p.CallerService})
+	d.dialect.Prepare(header, UpstreamHead{RequestID: p.RequestID, Left: left, Instance: h.instance, CallerService: p.CallerService})
 	req := &http.Request{Method: p.Method, URL: target, Host: p.Host, Header: header, ContentLength: p.Length,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	switch {
@@ -271,7 +271,7 @@
 	}
 	r := d.reply(OutcomeAnswered, slots.Decision{})
 	r.Answer = &Answer{
-		Status: x.response.StatusCode, Header: hopheader.EndToEnd(x.response.Header), Failed: head.Failed,
+		Status: x.response.StatusCode, Header: d.headers.pack(hopheader.EndToEnd(x.response.Header)), Failed: head.Failed,
 		Body: data, More: !last, Elapsed: elapsed,
 	}
 	return r
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
@@ -20,7 +19,8 @@
 	CallerService  string
 	Method, Target string
 	Host           string
-	Header         http.Header
+	// Header is packed by a headerCodec.
+	Header []byte
 	// Body is the first part of the body; More says that chunks follow. Length is the
 	// length of the whole body, -1 if it is not known.
 	Body   []byte
@@ -109,7 +109,8 @@
 // Answer is the backend server's answer.
 type Answer struct {
 	Status int
-	Header http.Header
+	// Header is packed by a headerCodec.
+	Header []byte
 	// Failed says that the backend server failed while it ran the request.
 	Failed bool
 	// Body is the first part of the body; More says that the rest is to be fetched.
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -44,6 +44,40 @@
 	}
 }
 
+// summaryInterval is how often the counters are logged.
+const summaryInterval = 10 * time.Second
+
+// summaryLoop logs what has been counted since the last summary. Requests that are answered
+// without any trouble appear in the log only here.
+func (d *Daemon) summaryLoop() {
+	ticker := time.NewTicker(summaryInterval)
+	defer ticker.Stop()
+	last := make(map[string]int64)
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.log.Info("summary", d.counters.changes(last)...)
+	}
+}
+
+// changes returns what was added since last, and updates last.
+func (c *counters) changes(last map[string]int64) []zap.Field {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var fields []zap.Field
+	for name, value := range c.values {
+		if value != last[name] {
+			fields = append(fields, zap.Int64(name, value-last[name]))
+			last[name] = value
+		}
+	}
+	sort.Slice(fields, func(i, j int) bool { return fields[i].Key < fields[j].Key })
+	return fields
+}
+
 // serveMetrics prints all counters as lines of a name and a value.
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	d.mu.Lock()
