Refuse requests at the entry whose calls would be blocked

Change: core/callgraph learns which kinds are calls from who sends them, core/pressure measures blocked calls and raises a level per blocked service at the entry, least important rank first.

--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -92,14 +92,20 @@
 	}
 	left -= time.Since(c.arrived)
 	now := time.Now()
+	service, refusal := d.enter(now, c.route)
+	if refusal != nil {
+		c.refuseEarly(service, refusal)
+		return
+	}
 	d.mu.Lock()
-	c.flight = d.dispatcher.Open(now, c.route, d.splitter.Next(c.route), left, d.repeatedShare())
+	c.flight = d.dispatcher.Open(now, c.route, service, left, d.repeatedShare())
 	step := d.dispatcher.Next(now, c.flight)
 	d.inFlight++
 	d.mu.Unlock()
 	defer d.flightEnded()
 	for {
 		if step.Code != 0 {
+			d.countCall(c.route, service, step.Code)
 			c.refuse(step.Code, step.RetryAfter, step.Reason)
 			return
 		}
@@ -115,6 +121,7 @@
 		next := c.report(report)
 		d.logStep(c, step, report, next)
 		if next.Deliver {
+			d.countCall(c.route, service, codes.OK)
 			c.deliver(answer)
 			return
 		}
@@ -166,6 +173,9 @@
 		result = c.classify(&reply)
 	}
 	c.daemon.heardOf(reply.AsOf, step.Upstream.Address)
+	if reply.Outcome != 0 {
+		c.daemon.learnPressure(c.route, c.flight.Service, &reply)
+	}
 	report := dispatch.Report{
 		Result: result, Load: reply.Load, HasLoad: reply.Outcome != 0,
 		Wait: reply.Wait, Repeatable: !c.spent,
@@ -180,6 +190,7 @@
 	now := time.Now()
 	return &AskArgs{
 		ID: c.daemon.nextAttempt(), Instance: step.Upstream.ID, Kind: c.route.Name, Rank: c.route.Rank,
+		CallerService:  c.daemon.set.Service,
 		Repeat:         c.flight.Sent() > 0,
 		UntilObjective: c.flight.Objective.Sub(now), Left: c.flight.Deadline.Sub(now), MayQueue: step.MayQueue,
 	}
@@ -195,7 +206,7 @@
 		target = c.r.URL.RequestURI() // the caller sent an absolute URI
 	}
 	return &Payload{
-		RequestID: c.head.ID, CallerService: c.daemon.set.Service, Method: c.r.Method, Target: target,
+		RequestID: c.head.ID, Method: c.r.Method, Target: target,
 		Host: c.r.Host, Header: c.daemon.headers.pack(hopheader.EndToEnd(c.r.Header)), Body: c.body, More: c.more, Length: length,
 	}
 }
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -12,8 +12,10 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/callgraph"
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+	"github.com/hawthornpoint/hawthornpoint/core/pressure"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
@@ -93,6 +95,11 @@
 	lastID     uint64
 	inFlight   int
 	repeats    int // local runs that are repeats
+	graph      *callgraph.Observer
+	meter      *pressure.Meter
+	gate       *pressure.Gate
+	calls      map[string]bool // routes on which the local backend server makes calls
+	gateTicked time.Time
 	stopping   bool
 	storeAway  bool
 	newerAt    string // upstream address of a peer that holds a newer replica
@@ -130,6 +137,7 @@
 		opts: opts, set: set, log: opts.Logger, dialect: opts.Dialect,
 		headers: newHeaderCodec(opts.Dialect.Names()), counters: newCounters(),
 		started: time.Now(), dir: directory.New(), station: slots.New(unknownSlots),
+		graph: callgraph.New(), meter: pressure.NewMeter(), gate: pressure.NewGate(opts.Rand.Float64), calls: make(map[string]bool),
 		waiting: make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -288,6 +296,7 @@
 func (d *Daemon) tick(now time.Time) {
 	d.mu.Lock()
 	d.dispatchEvents(d.station.Tick(now))
+	d.tickGate(now)
 	gone := d.dir.Expire(now)
 	if len(gone) > 0 {
 		d.dispatcher.Forget()
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -24,6 +24,7 @@
 	id       uint64 // at the station
 	instance string
 	kind     string
+	origin   string // the service of the VM where the request began
 	repeat   bool
 	// ctx ends when the caller has gone; cancel ends it.
 	ctx    context.Context
@@ -49,24 +50,24 @@
 // ask asks the station for a slot and, when the request came with the question, runs it.
 // The attempt ends with its context.
 func (d *Daemon) ask(h *held, a *AskArgs) Reply {
-	h.instance, h.kind, h.repeat = a.Instance, a.Kind, a.Repeat
+	h.instance, h.kind, h.origin, h.repeat = a.Instance, a.Kind, a.CallerService, a.Repeat
 	deadline := time.Now().Add(a.Left)
 	decision, refused := d.arrive(h, a)
 	if refused != 0 {
-		return d.reply(refused, decision)
+		return d.reply(h, refused, decision)
 	}
 	if decision.Verdict == slots.Wait {
 		decision = d.awaitSlot(h, a.Left)
 	}
 	switch {
 	case decision.Verdict != slots.Start:
-		return d.reply(OutcomeRefused, decision)
+		return d.reply(h, OutcomeRefused, decision)
 	case h.ctx.Err() != nil:
 		d.withdraw(h, "time_over")
-		return d.reply(OutcomeUnsent, decision)
+		return d.reply(h, OutcomeUnsent, decision)
 	case a.Payload == nil:
 		h.release = time.AfterFunc(grantLife, func() { d.withdraw(h, "grant_unused") })
-		return d.reply(OutcomeGranted, decision)
+		return d.reply(h, OutcomeGranted, decision)
 	}
 	return d.run(h, a.Payload, time.Until(deadline))
 }
@@ -80,6 +81,7 @@
 	if d.stopping || known && own.ID == a.Instance && own.Draining {
 		return slots.Decision{Reason: slots.Closed}, OutcomeLeaving
 	}
+	d.graph.Observe(a.Kind, a.CallerService)
 	d.lastID++
 	h.id = d.lastID
 	decision := d.station.Arrive(now, slots.Ticket{
@@ -145,12 +147,12 @@
 // claim turns a granted slot into a run. It reports false when the slot was given back.
 func (h *held) claim() bool { return h.release != nil && h.release.Stop() }
 
-func (d *Daemon) reply(o Outcome, decision slots.Decision) Reply {
+func (d *Daemon) reply(h *held, o Outcome, decision slots.Decision) Reply {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return Reply{
 		Outcome: o, Reason: string(decision.Reason), Wait: decision.Wait,
-		Load: d.station.Load(), AsOf: d.replica.AsOf(),
+		Load: d.station.Load(), Call: d.graph.IsCall(h.kind), Blocked: d.meter.Shares(time.Now()), AsOf: d.replica.AsOf(),
 	}
 }
 
@@ -185,7 +187,7 @@
 	if err != nil {
 		cancel()
 		d.done(h, slots.Outcome{Failed: true})
-		return d.reply(OutcomeUnsent, slots.Decision{Reason: "bad_request"})
+		return d.reply(h, OutcomeUnsent, slots.Decision{Reason: "bad_request"})
 	}
 	x, sent, err := d.backend.roundTrip(ctx, req)
 	if err != nil {
@@ -208,7 +210,7 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps the library from adding one
 	}
-	d.dialect.Prepare(header, UpstreamHead{RequestID: p.RequestID, Left: left, Instance: h.instance, CallerService: p.CallerService})
+	d.dialect.Prepare(header, UpstreamHead{RequestID: p.RequestID, Left: left, Instance: h.instance, CallerService: h.origin})
 	req := &http.Request{Method: p.Method, URL: target, Host: p.Host, Header: header, ContentLength: p.Length,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	switch {
@@ -240,7 +242,7 @@
 	}
 	d.log.Info("backend exchange failed", zap.String("id", p.RequestID), zap.String("kind", h.kind),
 		zap.Bool("sent", sent), zap.String("reason", reason), zap.Error(err))
-	return d.reply(outcome, slots.Decision{Reason: slots.Reason(reason)})
+	return d.reply(h, outcome, slots.Decision{Reason: slots.Reason(reason)})
 }
 
 // read reads the first part of the answer.
@@ -265,11 +267,11 @@
 	}
 	switch {
 	case head.Misplaced:
-		return d.reply(OutcomeMisplaced, slots.Decision{Reason: "other_instance"})
+		return d.reply(h, OutcomeMisplaced, slots.Decision{Reason: "other_instance"})
 	case head.NotExecuted:
-		return d.reply(OutcomeRejected, slots.Decision{Reason: "backend_refused"})
+		return d.reply(h, OutcomeRejected, slots.Decision{Reason: "backend_refused"})
 	}
-	r := d.reply(OutcomeAnswered, slots.Decision{})
+	r := d.reply(h, OutcomeAnswered, slots.Decision{})
 	r.Answer = &Answer{
 		Status: x.response.StatusCode, Header: d.headers.pack(hopheader.EndToEnd(x.response.Header)), Failed: head.Failed,
 		Body: data, More: !last, Elapsed: elapsed,
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hawthornpoint/hawthornpoint/core/pressure"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
 )
@@ -14,9 +15,7 @@
 // Payload is a request on its way to the backend server.
 type Payload struct {
 	// RequestID is the caller's ID of the request.
-	RequestID string
-	// CallerService is the service of the VM where the request began.
-	CallerService  string
+	RequestID      string
 	Method, Target string
 	Host           string
 	// Header is packed by a headerCodec.
@@ -34,9 +33,11 @@
 	ID uint64
 	// Instance is the upstream that is asked.
 	Instance string
-	// Kind and Rank say what the request is.
-	Kind string
-	Rank int
+	// Kind and Rank say what the request is, and CallerService is the service of the VM
+	// where it began.
+	Kind          string
+	Rank          int
+	CallerService string
 	// UntilObjective and Left are the times left.
 	UntilObjective, Left time.Duration
 	MayQueue             bool
@@ -102,6 +103,10 @@
 	Load slots.Load
 	// Answer is set for OutcomeAnswered.
 	Answer *Answer
+	// Call says that requests of the kind are made by upstreams of the caller's service.
+	Call bool
+	// Blocked tells the shares of the upstream's calls that are blocked.
+	Blocked []pressure.Share
 	// AsOf is the revision of the daemon's replica.
 	AsOf int64
 }
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -137,6 +137,7 @@
 	case c.Upstream != nil:
 		u := *c.Upstream
 		d.dir.Put(u)
+		d.setFleet()
 		if u.Address == d.set.BackendAddress {
 			d.station.SetSlots(u.Slots)
 		}
