--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -172,7 +172,7 @@
 	var answer *delivery
 	var result dispatch.Result
 	if step.Upstream.Address == c.daemon.set.BackendAddress {
-		reply, answer = c.attemptHere(ctx, ask)
+		reply, answer = c.attemptHere(ask)
 	} else {
 		reply, answer, result = c.attemptThere(ctx, ask, c.daemon.peerAddress(step.Upstream.Address))
 	}
@@ -247,8 +247,8 @@
 }
 
 // attemptHere runs the request at the local backend server.
-func (c *callerRequest) attemptHere(ctx context.Context, ask *AskArgs) (Reply, *delivery) {
-	h := newHeld(ctx)
+func (c *callerRequest) attemptHere(ask *AskArgs) (Reply, *delivery) {
+	h := newHeld(c.r.Context())
 	ask.Payload = c.payload()
 	if c.more {
 		c.spent = true
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -376,3 +376,10 @@
 	d.backend.closeIdle(time.Now(), true)
 	d.workers.Wait()
 }
+
+// Upstreams returns the number of upstreams that are known.
+func (d *Daemon) Upstreams() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.Len()
+}
--- a/mesh/dialect.go
+++ b/mesh/dialect.go
@@ -88,7 +88,8 @@
 	Gone string
 }
 
-// Decoder reads items of the store. now is the time of reading, for times that an item
+// Decoder reads items of the store. A change may come with an error: an entry that can't be
+// read ends what it said before. now is the time of reading, for times that an item
 // gives as a remaining duration.
 type Decoder interface {
 	Decode(now time.Time, item replica.Item) (Change, error)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -137,6 +137,13 @@
 // SyncReply answers SyncArgs.
 type SyncReply struct{ Update replica.Update }
 
+// PingArgs tests a connection and tells the revision of the sender's replica.
+type PingArgs struct {
+	AsOf int64
+	// From is the address of the upstream beside the sender.
+	From string
+}
+
 // PingReply answers a ping and other messages without content of their own.
 type PingReply struct {
 	// AsOf is the revision of the daemon's replica.
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -151,7 +151,7 @@
 		case pending > 0 && silent > pingAfter:
 			select {
 			case pinging <- struct{}{}:
-				link.client.Go(peerService+".Ping", &CallID{}, &PingReply{}, make(chan *rpc.Call, 1))
+				link.client.Go(peerService+".Ping", &PingArgs{}, &PingReply{}, make(chan *rpc.Call, 1))
 			default:
 			}
 		}
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -154,7 +154,10 @@
 }
 
 // Ping answers with the revision of the replica.
-func (c *PeerConn) Ping(_ *CallID, r *PingReply) error {
+func (c *PeerConn) Ping(a *PingArgs, r *PingReply) error {
+	if a.From != "" {
+		c.daemon.heardOf(a.AsOf, a.From)
+	}
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
 	r.AsOf = c.daemon.replica.AsOf()
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -13,9 +13,16 @@
 )
 
 const (
-	// watchWait is how long the store keeps a read waiting for a change. Reads that a
-	// failing store swallowed end after it.
-	watchWait = 4 * time.Second
+	// renewEvery is the time between two renewals of a watch anywhere in the fleet. A watch
+	// can miss changes without an error; the daemon that renews its own first finds out and
+	// tells others, so that the time to notice does not grow with the fleet.
+	renewEvery = 250 * time.Millisecond
+	// leastWatch and maxWatch bound the time for which the store keeps a read waiting.
+	leastWatch = time.Second
+	maxWatch   = 20 * time.Second
+	// notifiedPeers is how many peers each daemon tells that it has taken changes. One that
+	// the store leaves out hears of them from some daemon with 95% probability.
+	notifiedPeers = 3
 	// answerSlack is how much later an answer of the store may come.
 	answerSlack = 700 * time.Millisecond
 	// listTimeout bounds the reading of the whole state.
@@ -44,7 +51,9 @@
 		switch {
 		case err == nil:
 			d.storeAnswered(failures)
-			d.apply(update, "store")
+			if d.apply(update, "store") > 0 {
+				d.notifyPeers()
+			}
 			list, failures = false, 0
 			continue
 		case errors.Is(err, ErrCompacted):
@@ -63,15 +72,25 @@
 	}
 }
 
+// watchWait draws the time of the next watch, so that those of the fleet are spread evenly.
+func (d *Daemon) watchWait() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	spread := 2 * (time.Duration(d.dir.Len())*renewEvery - leastWatch)
+	wait := leastWatch + time.Duration(d.opts.Rand.Float64()*float64(max(spread, leastWatch)))
+	return min(wait, maxWatch)
+}
+
 func (d *Daemon) readStore(list bool) (replica.Update, error) {
 	if list {
 		ctx, cancel := context.WithTimeout(d.ctx, listTimeout)
 		defer cancel()
 		return d.opts.Store.List(ctx)
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, watchWait+answerSlack)
+	wait := d.watchWait()
+	ctx, cancel := context.WithTimeout(d.ctx, wait+answerSlack)
 	defer cancel()
-	return d.opts.Store.Watch(ctx, d.asOf(), watchWait)
+	return d.opts.Store.Watch(ctx, d.asOf(), wait)
 }
 
 func (d *Daemon) asOf() int64 {
@@ -107,8 +126,9 @@
 	}
 }
 
-// apply takes an update into the replica and puts its changes in force.
-func (d *Daemon) apply(u replica.Update, source string) {
+// apply takes an update into the replica, puts its changes in force, and returns their
+// number.
+func (d *Daemon) apply(u replica.Update, source string) int {
 	now := time.Now()
 	d.mu.Lock()
 	changed := d.replica.Apply(u)
@@ -119,13 +139,43 @@
 		if err != nil {
 			d.counters.add("items_unreadable")
 			d.log.Warn("item not readable", zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
-			continue
 		}
 		d.change(now, change, item.Revision, source)
 	}
 	if len(changed) > 0 {
 		d.log.Debug("replica updated", zap.String("source", source), zap.Int64("revision", asOf), zap.Int("changes", len(changed)))
 	}
+	return len(changed)
+}
+
+// notifyPeers tells some peers that this daemon holds changes, which their watches may have
+// missed. They fetch what they lack, and tell others.
+func (d *Daemon) notifyPeers() {
+	d.mu.Lock()
+	known := d.peerAddresses()
+	d.opts.Rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	args := &PingArgs{AsOf: d.replica.AsOf(), From: d.set.BackendAddress}
+	d.mu.Unlock()
+	for _, address := range known[:min(notifiedPeers, len(known))] {
+		d.work(func() {
+			ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
+			defer cancel()
+			if err := d.peer(address).call(ctx, "Ping", args, new(PingReply)); err != nil {
+				d.counters.add("peer_notices_failed")
+			}
+		})
+	}
+}
+
+// peerAddresses returns where all other daemons listen. d.mu is held.
+func (d *Daemon) peerAddresses() []string {
+	var known []string
+	for _, u := range d.dir.All() {
+		if u.Address != d.set.BackendAddress {
+			known = append(known, d.peerAddress(u.Address))
+		}
+	}
+	return known
 }
 
 func (d *Daemon) change(now time.Time, c Change, revision int64, source string) {
@@ -218,12 +268,7 @@
 	case !d.storeAway && d.replica.AsOf() > 0:
 		return ""
 	}
-	var known []string
-	for _, u := range d.dir.All() {
-		if u.Address != d.set.BackendAddress {
-			known = append(known, d.peerAddress(u.Address))
-		}
-	}
+	known := d.peerAddresses()
 	if len(known) == 0 {
 		for _, seed := range d.set.Seeds {
 			if seed != d.set.ControlAddress {
@@ -246,7 +291,9 @@
 		return
 	}
 	d.counters.add("peer_syncs")
-	d.apply(reply.Update, "peer "+address)
+	if d.apply(reply.Update, "peer "+address) > 0 {
+		d.notifyPeers()
+	}
 }
 
 // Dial is the default of Options.Dial. It opens a connection that notices a peer that has gone silent.
