Read the reply of a peer only when it has come

Cause: data race found by the race detector in TestStops: a call between daemons that was given up is still answered into the variable that its caller returned. Change: each call decodes into a variable of its own, which is copied when it is complete.

--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -293,20 +293,18 @@
 		if c.more {
 			c.spent = true
 			go c.feed(func(data []byte, last bool) error {
-				return link.call(ctx, "Chunk", &ChunkArgs{ID: ask.ID, Data: data, Last: last}, new(PingReply))
+				_, err := callLink[PingReply](ctx, link, "Chunk", &ChunkArgs{ID: ask.ID, Data: data, Last: last})
+				return err
 			})
 		}
-		reply = Reply{}
-		if err := link.call(ctx, "Run", args, &reply); err != nil {
+		if reply, err = callLink[Reply](ctx, link, "Run", args); err != nil {
 			link.cancel(ask.ID)
 			return Reply{}, nil, c.lostResult(ctx, true, err)
 		}
 	}
 	answer := &delivery{answer: reply.Answer}
 	answer.more = func() (MoreReply, error) {
-		var part MoreReply
-		err := link.call(c.r.Context(), "More", &CallID{ID: ask.ID}, &part)
-		return part, err
+		return callLink[MoreReply](c.r.Context(), link, "More", &CallID{ID: ask.ID})
 	}
 	if reply.Answer != nil && reply.Answer.More {
 		answer.cancel = func() { link.cancel(ask.ID) }
@@ -321,8 +319,7 @@
 		ctx, cancel = context.WithTimeout(ctx, answerWithin)
 		defer cancel()
 	}
-	var reply Reply
-	err := link.call(ctx, "Ask", ask, &reply)
+	reply, err := callLink[Reply](ctx, link, "Ask", ask)
 	if err != nil && ctx.Err() != nil {
 		link.cancel(ask.ID)
 	}
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -169,19 +169,24 @@
 	_ = l.client.Close()
 }
 
-// call calls a method of the peer. The error is errUnreachable when nothing was sent.
-func (p *peer) call(ctx context.Context, method string, args, reply any) error {
+// callPeer calls a method of the peer. The error is errUnreachable when nothing was sent.
+func callPeer[T any](ctx context.Context, p *peer, method string, args any) (T, error) {
 	link, err := p.connect(ctx)
 	if err != nil {
-		return err
+		var none T
+		return none, err
 	}
-	return link.call(ctx, method, args, reply)
+	return callLink[T](ctx, link, method, args)
 }
 
-func (l *peerLink) call(ctx context.Context, method string, args, reply any) error {
+// callLink calls a method on a connection. A reply that comes after ctx has ended is still
+// written by the library, so that the result is a copy of it.
+func callLink[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
+	var none T
 	if l.broken.Load() {
-		return errUnreachable
+		return none, errUnreachable
 	}
+	reply := new(T)
 	if l.pending.Add(1) == 1 {
 		l.hear() // silence counts from the first call that waits
 	}
@@ -193,11 +198,11 @@
 			if _, answered := call.Error.(rpc.ServerError); !answered {
 				l.broken.Store(true)
 			}
-			return errors.Wrap(call.Error, method)
+			return none, errors.Wrap(call.Error, method)
 		}
-		return nil
+		return *reply, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	}
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -160,7 +160,7 @@
 		d.work(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 			defer cancel()
-			if err := d.peer(address).call(ctx, "Ping", args, new(PingReply)); err != nil {
+			if _, err := callPeer[PingReply](ctx, d.peer(address), "Ping", args); err != nil {
 				d.counters.add("peer_notices_failed")
 			}
 		})
@@ -285,8 +285,8 @@
 func (d *Daemon) syncFrom(address string) {
 	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 	defer cancel()
-	var reply SyncReply
-	if err := d.peer(address).call(ctx, "Sync", &SyncArgs{After: d.asOf()}, &reply); err != nil {
+	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{After: d.asOf()})
+	if err != nil {
 		d.counters.add("peer_syncs_failed")
 		return
 	}
