Let short exchanges end after their caller has gone; count new requests without room

(2) Calls go before new requests at a station, so that the gate let in requests whose calls starved others of the same rank. Change: an exchange whose time is over, or of a short kind whose caller has gone, goes on for 100 ms; the gate hears of new requests that found no room.

--- a/core/slots/station.go
+++ b/core/slots/station.go
@@ -171,7 +171,7 @@
 	if s.closed {
 		return Decision{Verdict: Refuse, Reason: Closed}
 	}
-	usual := s.usual(t.Kind)
+	usual := s.Usual(t.Kind)
 	if t.Deadline.Sub(now) < usual/2 {
 		return Decision{Verdict: Refuse, Reason: TooLate}
 	}
@@ -244,8 +244,8 @@
 	return time.Duration(float64(run) * float64(ahead+1) / (float64(s.limit) * s.shareFor(now, rank)))
 }
 
-// usual returns the usual run time of a kind, 0 if unknown.
-func (s *Station) usual(kind string) time.Duration {
+// Usual returns the usual run time of a kind, 0 if unknown.
+func (s *Station) Usual(kind string) time.Duration {
 	if a := s.byKind[kind]; a != nil {
 		return a.value
 	}
@@ -314,7 +314,7 @@
 	for len(s.queue) > 0 && len(s.running) < s.limit {
 		next := s.queue[0]
 		s.queue = append(s.queue[:0], s.queue[1:]...)
-		if next.Deadline.Sub(now) < s.usual(next.Kind)/2 {
+		if next.Deadline.Sub(now) < s.Usual(next.Kind)/2 {
 			events = append(events, Event{ID: next.ID, Decision: Decision{Verdict: Refuse, Reason: TooLate}})
 			continue
 		}
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -36,11 +36,11 @@
 type backend struct {
 	address string
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
-	opened  func(reused bool) // counts connections
+	opened  func(reused bool)   // counts connections
+	closed  func(reason string) // counts their ends
 
 	mu   sync.Mutex
 	idle []*backendConn // the latest used last
-	down bool
 }
 
 type backendConn struct {
@@ -61,14 +61,19 @@
 }
 
 // roundTrip sends a request and reads the header of its answer. sent says whether any of
-// the request may have reached the backend server. The connection is closed when ctx ends.
-func (b *backend) roundTrip(ctx context.Context, req *http.Request) (x *exchange, sent bool, err error) {
+// the request may have reached the backend server. Nothing is sent when ctx has ended; the
+// connection is closed when late ends.
+func (b *backend) roundTrip(ctx, late context.Context, req *http.Request) (x *exchange, sent bool, err error) {
 	conn, err := b.connection(ctx)
 	if err != nil {
 		return nil, false, err
 	}
+	if ctx.Err() != nil {
+		b.keep(conn)
+		return nil, false, ctx.Err()
+	}
 	x = &exchange{backend: b, conn: conn}
-	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	x.stop = context.AfterFunc(late, func() { _ = conn.Close() })
 	if err := x.send(req); err != nil {
 		x.abort()
 		return nil, true, err
@@ -108,6 +113,7 @@
 
 // abort closes the connection.
 func (x *exchange) abort() {
+	x.backend.closed("aborted")
 	x.stop()
 	_ = x.conn.Close()
 }
@@ -116,6 +122,7 @@
 // it can be used again.
 func (x *exchange) finish() {
 	if !x.stop() || !x.reusable() {
+		x.backend.closed("not_reusable")
 		_ = x.conn.Close()
 		return
 	}
@@ -170,6 +177,7 @@
 			b.opened(true)
 			return c, nil
 		}
+		b.closed("stale")
 		_ = c.Close()
 	}
 	ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
@@ -208,6 +216,7 @@
 	b.idle = kept
 	b.mu.Unlock()
 	for _, c := range old {
+		b.closed("idle")
 		_ = c.Close()
 	}
 }
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -97,7 +97,8 @@
 	inFlight   int
 	repeats    int // local runs that are repeats
 	graph      *callgraph.Observer
-	meter      *pressure.Meter
+	meter      *pressure.Meter // calls of the local backend server
+	entered    *pressure.Meter // new requests
 	gate       *pressure.Gate
 	calls      map[string]bool // routes on which the local backend server makes calls
 	gateTicked time.Time
@@ -139,11 +140,12 @@
 		opts: opts, set: set, log: opts.Logger, dialect: opts.Dialect,
 		headers: newHeaderCodec(opts.Dialect.Names()), counters: newCounters(),
 		started: time.Now(), dir: directory.New(), station: slots.New(unknownSlots),
-		graph: callgraph.New(), meter: pressure.NewMeter(), gate: pressure.NewGate(opts.Rand.Float64), calls: make(map[string]bool),
+		graph: callgraph.New(), meter: pressure.NewMeter(), entered: pressure.NewMeter(), gate: pressure.NewGate(opts.Rand.Float64), calls: make(map[string]bool),
 		waiting: make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.backend = &backend{address: set.BackendAddress, dial: opts.Dial, opened: d.counters.backendConnection}
+	d.backend = &backend{address: set.BackendAddress, dial: opts.Dial, opened: d.counters.backendConnection,
+		closed: func(reason string) { d.counters.add("backend_connections_closed_" + reason) }}
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Zone: set.Zone, Rand: opts.Rand,
 		BudgetRatio: set.RetryRatio, BudgetSlack: set.RetrySlack, BudgetWindow: set.RetryWindow,
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -19,6 +19,12 @@
 // between two regions several times.
 const grantLife = 500 * time.Millisecond
 
+// lateEnd is how long an exchange goes on after its time is over, or after the caller of a
+// short run has gone. The backend server ends by itself meanwhile, and the connection stays
+// open; closing it would cost a new one. Longer runs are stopped at once: their slot is worth
+// more than a connection.
+const lateEnd = 100 * time.Millisecond
+
 // held is an attempt at the local backend server, from the question to the end.
 type held struct {
 	id       uint64 // at the station
@@ -176,22 +182,62 @@
 	return float64(d.repeats) / float64(max(d.station.Load().Running, d.repeats))
 }
 
-// run sends a request to the backend server. The caller holds a slot, which run gives back.
+// run sends a request to the backend server. The caller holds a slot, which is given back
+// when the backend server has ended. When the time is over or the caller has gone, run
+// returns at once; the exchange may go on for lateEnd.
 func (d *Daemon) run(h *held, p *Payload, left time.Duration) Reply {
+	ctx, cancel := context.WithTimeout(h.ctx, left)
+	late, cancelLate := context.WithCancel(context.Background())
+	stop := context.AfterFunc(ctx, func() {
+		if ctx.Err() == context.DeadlineExceeded || d.isShort(h.kind) {
+			time.AfterFunc(lateEnd, cancelLate)
+			return
+		}
+		cancelLate()
+	})
+	h.stopRun = func() {
+		stop()
+		cancel()
+		cancelLate()
+	}
+	replies := make(chan Reply, 1)
 	d.countRepeat(h, 1)
-	defer d.countRepeat(h, -1)
+	go func() {
+		defer d.countRepeat(h, -1)
+		replies <- d.exchange(ctx, late, h, p, left)
+	}()
+	over := time.NewTimer(left)
+	defer over.Stop()
+	select {
+	case r := <-replies:
+		return r
+	case <-over.C:
+		return d.reply(h, OutcomeExpired, slots.Decision{Reason: "time_over"})
+	case <-h.ctx.Done():
+		return d.reply(h, OutcomeLost, slots.Decision{Reason: "canceled"})
+	}
+}
+
+// isShort reports whether runs of the kind usually take less than lateEnd.
+func (d *Daemon) isShort(kind string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	usual := d.station.Usual(kind)
+	return usual > 0 && usual < lateEnd
+}
+
+// exchange sends the request and reads the first part of the answer, until late ends.
+func (d *Daemon) exchange(ctx, late context.Context, h *held, p *Payload, left time.Duration) Reply {
 	started := time.Now()
-	ctx, cancel := context.WithDeadline(h.ctx, started.Add(left))
-	h.stopRun = cancel
-	req, err := d.backendRequest(ctx, h, p, left)
+	req, err := d.backendRequest(late, h, p, left)
 	if err != nil {
-		cancel()
+		h.stopRun()
 		d.done(h, slots.Outcome{Failed: true})
 		return d.reply(h, OutcomeUnsent, slots.Decision{Reason: "bad_request"})
 	}
-	x, sent, err := d.backend.roundTrip(ctx, req)
+	x, sent, err := d.backend.roundTrip(ctx, late, req)
 	if err != nil {
-		cancel()
+		h.stopRun()
 		return d.failed(ctx, h, p, sent, err)
 	}
 	return d.read(ctx, h, p, x, started)
@@ -233,7 +279,7 @@
 	d.done(h, slots.Outcome{Failed: true})
 	outcome, reason := OutcomeLost, "no_answer"
 	switch {
-	case !sent && ctx.Err() == nil:
+	case !sent && errors.Is(err, errBackendDown):
 		outcome, reason = OutcomeDown, "backend_down"
 	case !sent:
 		outcome, reason = OutcomeUnsent, "time_over"
@@ -259,10 +305,14 @@
 	}
 	elapsed := time.Since(started)
 	d.done(h, slots.Outcome{Elapsed: elapsed, Rejected: head.NotExecuted, Failed: head.Failed})
-	if last {
+	switch {
+	case last:
 		x.finish()
 		h.stopRun()
-	} else {
+	case ctx.Err() != nil:
+		x.abort()
+		h.stopRun()
+	default:
 		h.rest = x
 	}
 	switch {
--- a/mesh/pressure.go
+++ b/mesh/pressure.go
@@ -56,19 +56,27 @@
 	}
 }
 
-// countCall measures what becomes of the calls of the local backend server. Refusals of an
-// upstream that has room, and failures, are no sign of too many requests.
+// countCall measures what becomes of the calls of the local backend server, and of new
+// requests. Refusals of an upstream that has room, and failures, are no sign of too many
+// requests.
 func (d *Daemon) countCall(r *routing.Route, service string, code codes.Code) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	if !d.calls[r.Name] {
+		switch code {
+		case codes.OK:
+			d.entered.Count(now, service, false)
+		case codes.Shed, codes.QueueTimeout, codes.DeadlineTooShort:
+			d.entered.Count(now, service, true)
+		}
 		return
 	}
 	switch code {
 	case codes.OK:
-		d.meter.Count(time.Now(), service, false)
+		d.meter.Count(now, service, false)
 	case codes.Shed, codes.NoUpstream, codes.QueueTimeout, codes.DeadlineTooShort, codes.DeadlineExceeded:
-		d.meter.Count(time.Now(), service, true)
+		d.meter.Count(now, service, true)
 	}
 }
 
@@ -78,6 +86,11 @@
 		return
 	}
 	d.gateTicked = now
+	// New requests that a service has no room for count as well: calls go before them, so
+	// that requests of the same rank would fare differently by the way they come.
+	for _, share := range d.entered.Shares(now) {
+		d.gate.Heard(now, share.Service, []pressure.Share{share})
+	}
 	before := len(d.gate.Levels())
 	d.gate.Tick(now)
 	if levels := d.gate.Levels(); len(levels) != before {
