Log through a bounded queue, bound the lines of each event, set the memory limit

Cause: the log was written to standard output by those who log, so that a reader that stops would stop the daemon. Change: internal/logqueue drops and counts what finds the queue full; each event is bounded to 200 lines a second and one in 200 beyond; errors are logged without stacks; the Go runtime aims at 0.7 of the process's memory.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -4,14 +4,29 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"github.com/hawthornpoint/hawthornpoint/internal/logqueue"
 	"github.com/hawthornpoint/hawthornpoint/mesh"
 	"github.com/hawthornpoint/hawthornpoint/platform"
 )
 
+const (
+	// logQueueLines bounds the log lines that wait for standard output: about 2 MB.
+	logQueueLines = 4096
+	// linesPerSecond bounds the lines of each event in a second; of those beyond it, one in
+	// as many is written.
+	linesPerSecond = 200
+	// memoryShare is the share of the process's memory limit that the Go runtime aims at. The
+	// rest is for the kernel's buffers, which count as well.
+	memoryShare = 0.7
+)
+
 type sidecarCommand struct {
 	Settings    string `env:"HAWTHORNPOINT_SETTINGS" default:"/etc/hawthornpoint/local.json" type:"path" help:"Settings file, as the platform writes it."`
 	MetricsPort int    `default:"0" help:"Port for metrics; 0 opens none."`
@@ -20,15 +35,22 @@
 
 // Run serves until SIGTERM or SIGINT, then stops gracefully.
 func (c sidecarCommand) Run(o *output) error {
-	log, err := newLogger(o.out, c.LogLevel)
+	queue := logqueue.New(o.out, logQueueLines)
+	defer queue.Close()
+	log, err := newLogger(queue, c.LogLevel)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Sync() }()
+	log = log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, linesPerSecond)
+	}))
 	set, err := platform.LoadSettings(c.Settings, c.MetricsPort)
 	if err != nil {
 		return err
 	}
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	}
 	d := mesh.New(mesh.Options{
 		Settings: set.Mesh, Dialect: platform.Dialect{}, Decoder: platform.Decoder{},
 		Store: platform.NewStore(set.StoreAddress, mesh.Dial), Logger: log,
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -372,7 +372,7 @@
 	c.daemon.counters.answered(time.Since(c.arrived))
 	if err != nil {
 		a.drop()
-		c.daemon.log.Info("answer broke off", zap.String("id", c.head.ID), zap.Error(err))
+		c.daemon.log.Info("answer broke off", zap.String("id", c.head.ID), errorField(err))
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -214,11 +214,11 @@
 	d.callers.Limits = d.callerLimits
 	d.callers.Reject = func(remote net.Addr, status int, err error) {
 		d.counters.add("unparsable")
-		d.log.Info("request not parsed", zap.Stringer("remote", remote), zap.Int("status", status), zap.Error(err))
+		d.log.Info("request not parsed", zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
 	}
 	d.work(func() {
 		if err := d.callers.Serve(l); err != nil {
-			d.log.Error("listener failed", zap.String("address", d.set.CallerAddress), zap.Error(err))
+			d.log.Error("listener failed", zap.String("address", d.set.CallerAddress), errorField(err))
 		}
 	})
 	return nil
@@ -249,7 +249,7 @@
 	d.servers = append(d.servers, server)
 	d.work(func() {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("listener failed", zap.String("address", address), zap.Error(err))
+			d.log.Error("listener failed", zap.String("address", address), errorField(err))
 		}
 	})
 	return nil
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -287,7 +287,7 @@
 		outcome, reason = OutcomeExpired, "time_over"
 	}
 	d.log.Info("backend exchange failed", zap.String("id", p.RequestID), zap.String("kind", h.kind),
-		zap.Bool("sent", sent), zap.String("reason", reason), zap.Error(err))
+		zap.Bool("sent", sent), zap.String("reason", reason), errorField(err))
 	return d.reply(h, outcome, slots.Decision{Reason: slots.Reason(reason)})
 }
 
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -125,3 +125,6 @@
 	}
 	d.log.Info("refused", fields...)
 }
+
+// errorField names an error without its stack: one line for each event.
+func errorField(err error) zap.Field { return zap.String("error", err.Error()) }
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 )
 
 // peerService is the name under which daemons call each other.
@@ -29,7 +28,7 @@
 		c, err := l.Accept()
 		if err != nil {
 			if d.ctx.Err() == nil {
-				d.log.Error("peer listener failed", zap.Error(err))
+				d.log.Error("peer listener failed", errorField(err))
 			}
 			return
 		}
@@ -45,7 +44,7 @@
 	conn := &PeerConn{daemon: d, ctx: ctx, attempts: make(map[uint64]*held)}
 	server := rpc.NewServer()
 	if err := server.RegisterName(peerService, conn); err != nil {
-		d.log.Error("peer service", zap.Error(err))
+		d.log.Error("peer service", errorField(err))
 		_ = c.Close()
 		return
 	}
--- a/mesh/pressure.go
+++ b/mesh/pressure.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -94,7 +95,7 @@
 	before := len(d.gate.Levels())
 	d.gate.Tick(now)
 	if levels := d.gate.Levels(); len(levels) != before {
-		d.log.Info("gate", zap.Any("levels", levels))
+		d.log.Info("gate", zap.String("levels", fmt.Sprint(levels)))
 	}
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -121,7 +121,7 @@
 	d.dir.StoreAway()
 	d.mu.Unlock()
 	if lost {
-		d.log.Warn("store lost", zap.Int("failed_reads", failures), zap.Error(err))
+		d.log.Warn("store lost", zap.Int("failed_reads", failures), errorField(err))
 		d.wakePeerLoop()
 	}
 }
@@ -138,7 +138,7 @@
 		change, err := d.opts.Decoder.Decode(now, item)
 		if err != nil {
 			d.counters.add("items_unreadable")
-			d.log.Warn("item not readable", zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+			d.log.Warn("item not readable", zap.String("key", item.Key), zap.Int64("revision", item.Revision), errorField(err))
 		}
 		d.change(now, change, item.Revision, source)
 	}
@@ -208,7 +208,7 @@
 	}
 	if err := c.Check(); err != nil {
 		d.counters.add("configs_refused")
-		d.log.Error("configuration refused", zap.Uint64("version", c.Version), zap.Int64("revision", revision), zap.Error(err))
+		d.log.Error("configuration refused", zap.Uint64("version", c.Version), zap.Int64("revision", revision), errorField(err))
 		return
 	}
 	d.routes.Store(routing.NewTable(c))
