Begin the splits of daemons apart and keep them over unrelated configurations

Daemons all began with the heaviest part, again after each configuration, so that few requests at each missed the shares together: TestSplitsBeginApart fails on the version before (0 of 500 requests for a part of 10%). Ruled out: a part that refuses. Change: a split begins at a random step and goes on while its weights stay.

--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 )
 
@@ -54,10 +56,23 @@
 	return strings.ToLower(host)
 }
 
+// startSteps bounds the random number of steps that a new split has behind it. Daemons that
+// all began with the heaviest part would together send it too much.
+const startSteps = 100
+
 // Splitter distributes the requests of weighted routes. Each part's count stays within
-// one request of its share, which random draws would not over short spans.
+// one request of its share, which random draws would not over short spans. A split goes on
+// when a configuration leaves its weights as they are.
 type Splitter struct {
-	credit map[string][]float64
+	// Rand draws where a new split begins; nil begins with the heaviest part.
+	Rand   *rand.Rand
+	splits map[string]*split
+}
+
+// split is the running state of one route.
+type split struct {
+	parts  []Part
+	credit []float64
 }
 
 // Next returns the service for the next request of the route.
@@ -65,25 +80,49 @@
 	if len(r.Parts) == 1 {
 		return r.Parts[0].Service
 	}
-	if s.credit == nil {
-		s.credit = make(map[string][]float64)
+	current := s.splits[r.Name]
+	if current == nil || !slices.Equal(current.parts, r.Parts) {
+		current = s.begin(r)
 	}
-	credit := s.credit[r.Name]
-	if len(credit) != len(r.Parts) {
-		credit = make([]float64, len(r.Parts))
-		s.credit[r.Name] = credit
+	return current.next()
+}
+
+func (s *Splitter) begin(r *Route) *split {
+	current := &split{parts: r.Parts, credit: make([]float64, len(r.Parts))}
+	if s.splits == nil {
+		s.splits = make(map[string]*split)
+	}
+	s.splits[r.Name] = current
+	if s.Rand != nil {
+		for range s.Rand.IntN(startSteps) {
+			current.next()
+		}
 	}
+	return current
+}
+
+func (s *split) next() string {
 	total, best := 0.0, -1
-	for i, p := range r.Parts {
-		credit[i] += p.Weight
+	for i, p := range s.parts {
+		s.credit[i] += p.Weight
 		total += p.Weight
-		if p.Weight > 0 && (best < 0 || credit[i] > credit[best]) {
+		if p.Weight > 0 && (best < 0 || s.credit[i] > s.credit[best]) {
 			best = i
 		}
 	}
-	credit[best] -= total
-	return r.Parts[best].Service
+	s.credit[best] -= total
+	return s.parts[best].Service
 }
 
-// Reset forgets the running shares, for use when the configuration changes.
-func (s *Splitter) Reset() { s.credit = nil }
+// Keep forgets the routes that a configuration no longer has.
+func (s *Splitter) Keep(c *Config) {
+	kept := make(map[string]bool, len(c.Routes))
+	for i := range c.Routes {
+		kept[c.Routes[i].Name] = true
+	}
+	for name := range s.splits {
+		if !kept[name] {
+			delete(s.splits, name)
+		}
+	}
+}
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -49,6 +50,35 @@
 	})
 }
 
+// Guards against a fleet whose daemons all begin a new split with the same part, so that few
+// requests at each miss the shares together.
+func TestSplitsBeginApart(t *testing.T) {
+	Convey("Five requests at each of 100 daemons keep the shares", t, func() {
+		r := route("r", "h", "/", Part{"a", 90}, Part{"b", 10})
+		light := 0
+		for i := range 100 {
+			s := Splitter{Rand: rand.New(rand.NewPCG(1, uint64(i)))}
+			for range 5 {
+				if s.Next(&r) == "b" {
+					light++
+				}
+			}
+		}
+		So(light, ShouldBeBetween, 30, 70)
+	})
+	Convey("A configuration that leaves the weights leaves the split", t, func() {
+		r := route("r", "h", "/", Part{"a", 50}, Part{"b", 50})
+		var s Splitter
+		count := map[string]int{}
+		for range 100 {
+			same := route("r", "h", "/", Part{"a", 50}, Part{"b", 50})
+			count[s.Next(&same)]++
+			s.Keep(&Config{Routes: []Route{r}})
+		}
+		So(count["a"], ShouldEqual, 50)
+	})
+}
+
 // Guards against a configuration that can't be served being put in force.
 func TestCheck(t *testing.T) {
 	Convey("A faulty route is named with its field", t, func() {
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -141,7 +141,8 @@
 		headers: newHeaderCodec(opts.Dialect.Names()), counters: newCounters(),
 		started: time.Now(), dir: directory.New(), station: slots.New(unknownSlots),
 		graph: callgraph.New(), meter: pressure.NewMeter(), entered: pressure.NewMeter(), gate: pressure.NewGate(opts.Rand.Float64), calls: make(map[string]bool),
-		waiting: make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
+		splitter: routing.Splitter{Rand: opts.Rand},
+		waiting:  make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.backend = &backend{address: set.BackendAddress, dial: opts.Dial, opened: d.counters.backendConnection,
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -212,7 +212,7 @@
 		return
 	}
 	d.routes.Store(routing.NewTable(c))
-	d.splitter.Reset()
+	d.splitter.Keep(c)
 	d.counters.add("configs_accepted")
 	d.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)),
 		zap.Int64("revision", revision), zap.String("source", source))
