--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -121,6 +121,9 @@
 	}
 	_ = c.raw.SetReadDeadline(deadline)
 	r, err := http.ReadRequest(c.reader)
+	if err != nil && !deadline.IsZero() && !time.Now().Before(deadline) {
+		return nil, os.ErrDeadlineExceeded // the parser may call a cut line malformed
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -269,7 +272,7 @@
 			return false
 		}
 	}
-	whole := c.readAhead(r)
+	whole, broken := c.readAhead(r)
 	x.request = r.WithContext(c.ctx)
 	finished := make(chan struct{})
 	c.server.handlers.Add(1)
@@ -283,7 +286,7 @@
 		<-finished // the handler reads the rest of the body from the connection
 		return !r.Close && c.discard(r.Body)
 	}
-	return !r.Close
+	return !r.Close && !broken
 }
 
 // discard reads what the handler has left of a body, and reports false when that is too
@@ -297,27 +300,29 @@
 	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
-// readAhead replaces a short body by its bytes. It reports false for a longer one, of
-// which the rest is still to be read from the connection.
-func (c *conn) readAhead(r *http.Request) bool {
+// readAhead replaces a short body by its bytes. whole is false for a longer one, of which the
+// rest is still to be read from the connection. After a broken one nobody can tell where the
+// next request begins.
+func (c *conn) readAhead(r *http.Request) (whole, broken bool) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
-		return true
+		return true, false
 	}
 	r.Body = &patientBody{conn: c.raw, body: r.Body}
 	data, err := io.ReadAll(io.LimitReader(r.Body, BodyAhead))
 	if err != nil {
 		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(data), brokenReader{err}))
-		return true
+		r.Close = true
+		return true, true
 	}
 	if len(data) < BodyAhead {
 		r.Body = io.NopCloser(bytes.NewReader(data))
-		return true
+		return true, false
 	}
 	r.Body = struct {
 		io.Reader
 		io.Closer
 	}{io.MultiReader(bytes.NewReader(data), r.Body), r.Body}
-	return false
+	return false, false
 }
 
 type brokenReader struct{ err error }
