Set the harnesses apart; one list of hop-by-hop headers

Change: measure, faults, e2e, trial and standin moved below harness/, the README says on one screen what each folder is; daemon uses internal/hopheader.

--- a/configsource/platform_test.go
+++ b/configsource/platform_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/config"
 	"github.com/hawthornpoint/hawthornpoint/core/membership"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 var (
--- a/core/dispatch/flight.go
+++ b/core/dispatch/flight.go
@@ -17,8 +17,6 @@
 	// Arrived, Objective and Deadline are the times of the request itself; the deadline
 	// includes the route's timeout.
 	Arrived, Objective, Deadline time.Time
-	// Call says that the request was made by an upstream for a request that it runs.
-	Call bool
 
 	tried  map[string]bool // asked, refused for load
 	ran    map[string]bool // may have begun to run it
--- a/daemon/message.go
+++ b/daemon/message.go
@@ -7,8 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -17,42 +15,19 @@
 	"github.com/hawthornpoint/hawthornpoint/call"
 	"github.com/hawthornpoint/hawthornpoint/codes"
 	"github.com/hawthornpoint/hawthornpoint/core/idempotency"
+	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
 )
 
 // bufferSize is the part of a request body that is kept for a retry, and the
 // part of an answer that is read before it is passed on, in bytes.
 const bufferSize = 64 << 10
 
-// hopHeaders are meant for one connection and are not forwarded.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true,
-	// Transport treats a request with this header as safe to send again.
-	call.HeaderIdempotencyKey: true, "X-Idempotency-Key": true,
-}
-
+// copyHeader copies what is passed on. Transport treats a request with an idempotency key
+// as safe to send again, so that those headers stay behind.
 func copyHeader(to, from http.Header) {
-	named := connectionHeaders(from)
-	for name, values := range from {
-		if !hopHeaders[name] && !named[name] {
-			to[name] = values
-		}
-	}
-}
-
-// connectionHeaders returns the headers that the Connection header names.
-func connectionHeaders(h http.Header) map[string]bool {
-	var named map[string]bool
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			if named == nil {
-				named = make(map[string]bool)
-			}
-			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return named
+	hopheader.Copy(to, from)
+	delete(to, call.HeaderIdempotencyKey)
+	delete(to, "X-Idempotency-Key")
 }
 
 // body is a request body of which the first part is kept, so that a call with a
--- a/e2e/fleet_test.go
+++ b/harness/e2e/fleet_test.go
@@ -23,9 +23,9 @@
 	"github.com/hawthornpoint/hawthornpoint/examples"
 	// The binary is built from this package; the import makes the test cache notice
 	// when it changes.
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 	_ "github.com/hawthornpoint/hawthornpoint/internal/cli"
 	"github.com/hawthornpoint/hawthornpoint/settings"
-	"github.com/hawthornpoint/hawthornpoint/standin"
 )
 
 // upstreamsPerService keeps the number of processes small.
@@ -40,7 +40,7 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "hawthornpoint")
-	build := exec.Command("go", "build", "-o", binary, "../cmd/hawthornpoint")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/hawthornpoint")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintln(os.Stderr, string(out))
 		os.Exit(1)
--- a/faults/caller_test.go
+++ b/harness/faults/caller_test.go
@@ -14,7 +14,7 @@
 	"github.com/hawthornpoint/hawthornpoint/call"
 	"github.com/hawthornpoint/hawthornpoint/codes"
 	"github.com/hawthornpoint/hawthornpoint/core/idempotency"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 // callerHost is the caller's name on the network.
--- a/faults/config_cases_test.go
+++ b/harness/faults/config_cases_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/hawthornpoint/hawthornpoint/config"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 	"github.com/hawthornpoint/hawthornpoint/operator"
-	"github.com/hawthornpoint/hawthornpoint/standin"
 )
 
 // inForceWithin is the bound of the design page for connected daemons.
--- a/faults/fleet_test.go
+++ b/harness/faults/fleet_test.go
@@ -13,8 +13,8 @@
 	"github.com/hawthornpoint/hawthornpoint/config"
 	"github.com/hawthornpoint/hawthornpoint/core/membership"
 	"github.com/hawthornpoint/hawthornpoint/daemon"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 	"github.com/hawthornpoint/hawthornpoint/settings"
-	"github.com/hawthornpoint/hawthornpoint/standin"
 )
 
 const (
--- a/faults/http_test.go
+++ b/harness/faults/http_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/call"
 	"github.com/hawthornpoint/hawthornpoint/codes"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 // inFleet runs a check on a fleet of its own and returns what it found. Convey is
--- a/faults/inject_test.go
+++ b/harness/faults/inject_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hawthornpoint/hawthornpoint/core/membership"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 // The target of a fault: a keyed confirmation with this home, sent through entry and
--- a/faults/judge_test.go
+++ b/harness/faults/judge_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/codes"
 	"github.com/hawthornpoint/hawthornpoint/config"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 // counts returns what every backend server has seen.
--- a/faults/random_test.go
+++ b/harness/faults/random_test.go
@@ -11,7 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 const (
--- a/faults/special_test.go
+++ b/harness/faults/special_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/hawthornpoint/hawthornpoint/codes"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 // specialCells are faults of requests that fit only some of the steps.
--- a/faults/steps_test.go
+++ b/harness/faults/steps_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hawthornpoint/hawthornpoint/core/idempotency"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 // step is where a request is when the fault happens.
--- a/faults/table_test.go
+++ b/harness/faults/table_test.go
@@ -11,10 +11,10 @@
 
 const (
 	// page is written when writeVariable is set.
-	page          = "../docs/FAULTS.md"
+	page          = "../../docs/FAULTS.md"
 	writeVariable = "HAWTHORNPOINT_WRITE_DOCS"
 	// The table lies between these lines; the rest of the page is written by hand.
-	tableBegin = "<!-- table: written by go test ./faults -run TestFaultTable -->"
+	tableBegin = "<!-- table: written by go test ./harness/faults -run TestFaultTable -->"
 	tableEnd   = "<!-- end of table -->"
 )
 
--- a/trial/load.go
+++ b/harness/trial/load.go
@@ -14,7 +14,7 @@
 	"github.com/hawthornpoint/hawthornpoint/call"
 	"github.com/hawthornpoint/hawthornpoint/codes"
 	"github.com/hawthornpoint/hawthornpoint/config"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 // maxSends is how often a caller sends one non-idempotent request under its key
--- a/trial/trial.go
+++ b/harness/trial/trial.go
@@ -13,7 +13,7 @@
 	"github.com/hawthornpoint/hawthornpoint/codes"
 	"github.com/hawthornpoint/hawthornpoint/config"
 	"github.com/hawthornpoint/hawthornpoint/examples"
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 const (
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hawthornpoint/hawthornpoint/standin"
+	"github.com/hawthornpoint/hawthornpoint/harness/standin"
 )
 
 // drainGrace is how long a stand-in backend server drains before it stops.
--- a/internal/cli/try.go
+++ b/internal/cli/try.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hawthornpoint/hawthornpoint/trial"
+	"github.com/hawthornpoint/hawthornpoint/harness/trial"
 )
 
 type tryCommand struct {
--- a/internal/hopheader/hopheader.go
+++ b/internal/hopheader/hopheader.go
@@ -17,13 +17,18 @@
 // EndToEnd returns the headers that are passed on. The values are shared with h.
 func EndToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h))
-	named := connectionOptions(h)
-	for name, values := range h {
+	Copy(out, h)
+	return out
+}
+
+// Copy sets the headers in to that are passed on. The values are shared with from.
+func Copy(to, from http.Header) {
+	named := connectionOptions(from)
+	for name, values := range from {
 		if !hopByHop[name] && !named[name] {
-			out[name] = values
+			to[name] = values
 		}
 	}
-	return out
 }
 
 // connectionOptions returns the headers that the Connection header names.
