Guard the timer of a granted slot

Cause: seen in reading: a withdrawal that arrives while a slot is being granted reads the timer that is being set. Ruled out: a lost slot (the timer still fires). Change: the timer is an atomic pointer.

--- a/mesh/local.go
+++ b/mesh/local.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -39,7 +40,8 @@
 	stopRun context.CancelFunc
 	// decided receives the decision about a waiting request.
 	decided chan slots.Decision
-	release *time.Timer // gives a granted slot back
+	// release gives a granted slot back; a withdrawal may come while it is being set.
+	release atomic.Pointer[time.Timer]
 	// rest is the part of a long answer that was not passed on yet.
 	rest *exchange
 	// body receives the further parts of a long request once ready is closed.
@@ -72,7 +74,7 @@
 		d.withdraw(h, "time_over")
 		return d.reply(h, OutcomeUnsent, decision)
 	case a.Payload == nil:
-		h.release = time.AfterFunc(grantLife, func() { d.withdraw(h, "grant_unused") })
+		h.release.Store(time.AfterFunc(grantLife, func() { d.withdraw(h, "grant_unused") }))
 		return d.reply(h, OutcomeGranted, decision)
 	}
 	return d.run(h, a.Payload, time.Until(deadline))
@@ -151,7 +153,10 @@
 }
 
 // claim turns a granted slot into a run. It reports false when the slot was given back.
-func (h *held) claim() bool { return h.release != nil && h.release.Stop() }
+func (h *held) claim() bool {
+	release := h.release.Load()
+	return release != nil && release.Stop()
+}
 
 func (d *Daemon) reply(h *held, o Outcome, decision slots.Decision) Reply {
 	d.mu.Lock()
