Pass over a late second answer and read the own one behind it

Ruled out: an answer that reached a wrong caller (the echoed ID kept it back). The case is allowed, but the request may run once and its own answer is behind. Change: up to two answers that name another request are passed over, and the connection is not used again.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -24,6 +24,8 @@
 	// idleMargin is the share of an announced idle time after which a connection is no
 	// longer used: the backend server may be closing it.
 	idleMargin = 0.8
+	// maxSkipped bounds the answers to other requests that are passed over.
+	maxSkipped = 2
 	// smallBody is written before the answer is read; longer bodies are written while it
 	// is awaited, because the backend server may answer first.
 	smallBody = 16 << 10
@@ -56,6 +58,8 @@
 	backend  *backend
 	conn     *backendConn
 	response *http.Response
+	request  *http.Request
+	skipped  int        // answers to other requests
 	written  chan error // result of writing a long body
 	stop     func() bool
 }
@@ -72,7 +76,7 @@
 		b.keep(conn)
 		return nil, false, ctx.Err()
 	}
-	x = &exchange{backend: b, conn: conn}
+	x = &exchange{backend: b, conn: conn, request: req}
 	x.stop = context.AfterFunc(late, func() { _ = conn.Close() })
 	if err := x.send(req); err != nil {
 		x.abort()
@@ -111,6 +115,19 @@
 	}
 }
 
+// skip reads the present answer to its end, and the header of the next one. The connection
+// is not used again.
+func (x *exchange) skip() error {
+	if x.skipped++; x.skipped > maxSkipped {
+		return errors.New("too many answers to other requests")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, inlineBytes))
+	if err != nil || n == inlineBytes || x.response.Close {
+		return errors.New("an answer to another request does not end")
+	}
+	return x.readHeader(x.request)
+}
+
 // abort closes the connection.
 func (x *exchange) abort() {
 	x.backend.closed("aborted")
@@ -132,7 +149,7 @@
 }
 
 func (x *exchange) reusable() bool {
-	if x.response.Close || x.conn.reader.Buffered() > 0 {
+	if x.skipped > 0 || x.response.Close || x.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if x.written == nil {
--- a/mesh/dialect.go
+++ b/mesh/dialect.go
@@ -35,8 +35,9 @@
 
 // AnswerHead is what an answer of a backend server says about the request.
 type AnswerHead struct {
-	// OwnAnswer says that the answer belongs to the request that was sent.
-	OwnAnswer bool
+	// OwnAnswer says that the answer belongs to the request that was sent, and Foreign that
+	// it names another one. An answer that names none is neither.
+	OwnAnswer, Foreign bool
 	// NotExecuted says that the backend server did not run the request.
 	NotExecuted bool
 	// Misplaced says that another upstream is at the address.
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -298,7 +298,11 @@
 
 // read reads the first part of the answer.
 func (d *Daemon) read(ctx context.Context, h *held, p *Payload, x *exchange, started time.Time) Reply {
-	head := d.dialect.Answer(p.RequestID, x.response.StatusCode, x.response.Header)
+	head, err := d.ownAnswer(p, x)
+	if err != nil {
+		x.abort()
+		return d.failed(ctx, h, p, true, err)
+	}
 	if !head.OwnAnswer {
 		x.abort()
 		return d.failed(ctx, h, p, true, errors.New("the answer belongs to another request"))
@@ -334,6 +338,21 @@
 	return r
 }
 
+// ownAnswer passes over answers to other requests. A backend server may send a second answer
+// to an earlier request of the connection, late; the own one follows it.
+func (d *Daemon) ownAnswer(p *Payload, x *exchange) (AnswerHead, error) {
+	for {
+		head := d.dialect.Answer(p.RequestID, x.response.StatusCode, x.response.Header)
+		if !head.Foreign {
+			return head, nil
+		}
+		d.counters.add("foreign_answers")
+		if err := x.skip(); err != nil {
+			return head, errors.Wrap(err, "after an answer to another request")
+		}
+	}
+}
+
 // more returns the next part of a long answer.
 func (h *held) more() (MoreReply, error) {
 	if h.rest == nil {
