--- a/harness/measure/measure_test.go
+++ b/harness/measure/measure_test.go
@@ -82,7 +82,7 @@
 }
 
 func descriptions(t *testing.T, dep *Deployment) []byte {
-	data, err := os.ReadFile(filepath.Join("..", "examples", dep.Name, "descriptions.jsonc"))
+	data, err := os.ReadFile(filepath.Join("..", "..", "examples", dep.Name, "descriptions.jsonc"))
 	if err != nil {
 		t.Fatal(err)
 	}
