--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -12,9 +12,10 @@
 	"time"
 )
 
-// ReturnGrace is the time after the return of the store in which living upstreams renew
-// entries that lapsed meanwhile.
-const ReturnGrace = 2 * time.Second
+// ReturnGrace is the time after the return of the store for which a lapsed entry stays in use.
+// Living upstreams renew theirs within about 2 s, most of them sooner; one that did leave
+// must get nothing later than 2 s after its removal, so that the grace ends before.
+const ReturnGrace = 1500 * time.Millisecond
 
 // Upstream is one registered backend server.
 type Upstream struct {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -63,6 +63,19 @@
 	})
 }
 
+// Guards against new work for an upstream that left just as the store came back, later than
+// the drain time of 2 s allows.
+func TestLeftAtReturn(t *testing.T) {
+	Convey("An upstream that is removed at the return of the store is not used for 2 s", t, func() {
+		d := filled()
+		d.StoreAway()
+		d.StoreBack(start)
+		d.Remove(start.Add(time.Millisecond), "u1")
+		So(d.Expire(start.Add(1900*time.Millisecond)), ShouldResemble, []string{"u1"})
+		So(names(d, "s"), ShouldResemble, []string{"u2"})
+	})
+}
+
 // Guards against sending requests of one service to an address that another has taken over,
 // and against an old entry that replaces a newer incarnation.
 func TestAddressReused(t *testing.T) {
