--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -48,7 +48,6 @@
 type backendConn struct {
 	net.Conn
 	reader *bufio.Reader
-	used   bool
 	// expires is when the connection is no longer used.
 	expires time.Time
 }
@@ -144,7 +143,6 @@
 		return
 	}
 	x.conn.expires = time.Now().Add(idleLife(x.response.Header))
-	x.conn.used = true
 	x.backend.keep(x.conn)
 }
 
