Send waiting requests elsewhere when an upstream begins to leave

Cause: the daemon beside a leaving upstream refused new requests and kept those in line, which then reached the upstream when its time to leave was over. Change: a draining or removed upstream's line is emptied at once; its requests have not run and are placed elsewhere (OutcomeLeaving).

--- a/core/slots/station.go
+++ b/core/slots/station.go
@@ -166,6 +166,16 @@
 // Close refuses all further tickets. Waiting and running requests go on.
 func (s *Station) Close() { s.closed = true }
 
+// Evict refuses all waiting requests, so that they can go elsewhere.
+func (s *Station) Evict() []Event {
+	var events []Event
+	for _, w := range s.queue {
+		events = append(events, Event{ID: w.ID, Decision: Decision{Verdict: Refuse, Reason: Closed}})
+	}
+	s.queue = nil
+	return events
+}
+
 // Arrive decides about a ticket.
 func (s *Station) Arrive(now time.Time, t Ticket) Decision {
 	if s.closed {
--- a/core/slots/station_test.go
+++ b/core/slots/station_test.go
@@ -52,6 +52,22 @@
 	})
 }
 
+// Guards against requests that stay in line at a server that is leaving.
+func TestEvict(t *testing.T) {
+	Convey("All waiting requests are refused, and running ones go on", t, func() {
+		s := trained(4, 100*time.Millisecond)
+		limit := s.Load().Limit
+		for i := range limit + 2 {
+			s.Arrive(start, ticket(uint64(i), 0, true))
+		}
+		events := s.Evict()
+		So(events, ShouldHaveLength, 2)
+		So(events[0].Decision, ShouldResemble, Decision{Verdict: Refuse, Reason: Closed})
+		So(s.Load().Running, ShouldEqual, limit)
+		So(s.Done(start, 0, Outcome{}), ShouldBeEmpty)
+	})
+}
+
 // Guards against keeping a request until its time is over when it could have been refused at
 // once, and against letting one wait that is pushed back by more important ones.
 func TestHopelessWaits(t *testing.T) {
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -68,6 +68,8 @@
 		decision = d.awaitSlot(h, a.Left)
 	}
 	switch {
+	case decision.Reason == slots.Closed:
+		return d.reply(h, OutcomeLeaving, decision)
 	case decision.Verdict != slots.Start:
 		return d.reply(h, OutcomeRefused, decision)
 	case h.ctx.Err() != nil:
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -212,11 +212,18 @@
 		d.setFleet()
 		if u.Address == d.set.BackendAddress {
 			d.station.SetSlots(u.Slots)
+			if u.Draining {
+				d.dispatchEvents(d.station.Evict())
+			}
 		}
 		d.log.Info("upstream listed", zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
 			zap.Bool("draining", u.Draining), zap.Int64("incarnation", u.Incarnation), zap.Int64("revision", revision), zap.String("source", source))
 	case c.Gone != "":
+		own, _ := d.dir.At(d.set.BackendAddress)
 		d.dir.Remove(now, c.Gone)
+		if _, listed := d.dir.At(d.set.BackendAddress); own.ID == c.Gone && !listed {
+			d.dispatchEvents(d.station.Evict())
+		}
 		d.dispatcher.Forget()
 		d.log.Info("upstream removed", zap.String("upstream", c.Gone), zap.Bool("store_away", d.storeAway),
 			zap.Int64("revision", revision), zap.String("source", source))
