Metrics with labels and latencies, a bounded log, and hawthornpoint explain

Cause: of a failed request the log told the refusal but not the state that decided it, its age, or what happened on the other hop; counters had no labels and there were no latencies; the sampler cut refusals like any other line. Change: internal/telemetry declares metrics (counters with labels, histograms, gauges) and prints them with VictoriaMetrics/metrics; docs/metrics.md is held against the declarations by a test. internal/logqueue is a zap core with a bounded queue and a budget of 1,000 lines a second, in which ordinary lines are dropped first and counted by event. Ruled out: one line for each request that is answered (some thousand a second); every hundredth has one. Tests: TestLinesNameTheCause (five kinds of failed request, from real daemons), TestTenTimesTheLoad, TestStuckWriter, TestStory, TestExplain, TestMetricsPage, TestSeriesAreBounded. Not measured: processor time with logs on and off.

--- a/core/dispatch/beliefs.go
+++ b/core/dispatch/beliefs.go
@@ -28,6 +28,8 @@
 	// avoided is tried again.
 	failureWeight = 0.1
 	failureLife   = 3 * time.Second
+	// unknownAge stands for the age of a report that there is not.
+	unknownAge = -time.Second
 	// warmShare is the share of its limit that a starting upstream is used with.
 	warmShare = 0.3
 )
@@ -71,6 +73,14 @@
 	b.load, b.loadAt, b.placed = l, now, 0
 }
 
+// loadAge returns the age of the reported load, unknownAge if there is none.
+func (b *belief) loadAge(now time.Time) time.Duration {
+	if b.loadAt.IsZero() {
+		return unknownAge
+	}
+	return now.Sub(b.loadAt)
+}
+
 // limit returns the number of requests that the upstream runs at once.
 func (b *belief) limit(now time.Time) int {
 	n := b.load.Limit
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -143,9 +143,10 @@
 	f.mayQueue = f.mayQueue || !room
 	f.asked++
 	f.target = b.upstream.ID
+	age := b.loadAge(now)
 	b.inFlight++
 	b.placed++
-	return Step{Upstream: b.upstream, MayQueue: f.mayQueue}
+	return Step{Upstream: b.upstream, MayQueue: f.mayQueue, LoadAge: age}
 }
 
 // refuse ends a flight that is not under way. It never claims that a request has not run
@@ -253,6 +254,13 @@
 // Report takes the outcome of the attempt that is under way and returns the next step.
 func (d *Dispatcher) Report(now time.Time, f *Flight, r Report) Step {
 	b := d.settle(now, f, r)
+	step := d.follow(now, f, b, r)
+	step.Suspect = max(b.until.Sub(now), 0)
+	return step
+}
+
+// follow decides what follows an attempt.
+func (d *Dispatcher) follow(now time.Time, f *Flight, b *belief, r Report) Step {
 	switch r.Result {
 	case Answered:
 		return Step{Deliver: true}
@@ -304,7 +312,7 @@
 	case Refused, Leaving, Misplaced:
 		b.replied()
 	}
-	if sent(r.Result) {
+	if r.Result.Sent() {
 		f.sent++
 		if f.ran == nil {
 			f.ran = make(map[string]bool)
@@ -323,16 +331,6 @@
 	d.usual[f.Route.Name] = have + time.Duration(averageWeight*float64(l-have))
 }
 
-// sent reports whether the request reached the backend server.
-func sent(r Result) bool {
-	switch r {
-	case Rejected, Failed, Lost, Answered, Expired:
-		return true
-	default:
-		return false
-	}
-}
-
 func (d *Dispatcher) exclude(f *Flight) {
 	if f.tried == nil {
 		f.tried = make(map[string]bool)
--- a/core/dispatch/flight.go
+++ b/core/dispatch/flight.go
@@ -51,6 +51,11 @@
 	Deliver bool
 	// Reason names the deciding input, for the log.
 	Reason string
+	// LoadAge is the age of what the choice of Upstream knew of its load; -1 s if it
+	// knew nothing.
+	LoadAge time.Duration
+	// Suspect is how long the upstream of the attempt before is avoided, 0 if it is not.
+	Suspect time.Duration
 }
 
 // Result is the outcome of one attempt.
@@ -95,6 +100,16 @@
 	Repeatable bool
 }
 
+// Sent reports whether the request reached the backend server.
+func (r Result) Sent() bool {
+	switch r {
+	case Rejected, Failed, Lost, Answered, Expired:
+		return true
+	default:
+		return false
+	}
+}
+
 // String returns the name of the result for logs and counters.
 func (r Result) String() string {
 	names := [...]string{"none", "refused", "leaving", "silent", "misplaced", "rejected", "failed", "lost", "answered", "expired", "unsent"}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,7 @@
 	Check   checkCommand   `cmd:"" help:"Check settings, descriptions and sheets; print each error with file, line and field."`
 	Seal    sealCommand    `cmd:"" help:"Check descriptions and a sheet and print the envelope to publish."`
 	Sidecar sidecarCommand `cmd:"" help:"Run the daemon beside a backend server on the platform of platform/."`
+	Explain explainCommand `cmd:"" help:"Tell from log files what became of a request, and why."`
 	Try     tryCommand     `cmd:"" help:"Run a bundled deployment in this process and report how it fared."`
 	StandIn standInCommand `cmd:"" name:"stand-in" help:"Run a stand-in backend server or platform, for trying things out."`
 	Version versionCommand `cmd:"" help:"Print the version."`
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -6,11 +6,11 @@
 	"os/signal"
 	"syscall"
 
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/hawthornpoint/hawthornpoint/daemon"
+	"github.com/hawthornpoint/hawthornpoint/internal/logqueue"
 	"github.com/hawthornpoint/hawthornpoint/operator"
 	"github.com/hawthornpoint/hawthornpoint/settings"
 )
@@ -52,9 +52,5 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg := zap.NewProductionEncoderConfig()
-	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.TimeKey = "time"
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), lv)
-	return zap.New(core), nil
+	return zap.New(zapcore.NewCore(logqueue.NewEncoder(), zapcore.Lock(zapcore.AddSync(w)), lv)), nil
 }
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -6,12 +6,12 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/hawthornpoint/hawthornpoint/internal/logqueue"
+	"github.com/hawthornpoint/hawthornpoint/internal/telemetry"
 	"github.com/hawthornpoint/hawthornpoint/mesh"
 	"github.com/hawthornpoint/hawthornpoint/platform"
 )
@@ -19,9 +19,9 @@
 const (
 	// logQueueLines bounds the log lines that wait for standard output: about 2 MB.
 	logQueueLines = 4096
-	// linesPerSecond bounds the lines of each event in a second; of those beyond it, one in
-	// as many is written.
-	linesPerSecond = 200
+	// linesPerSecond bounds the log lines in a second: some hundred decisions against
+	// requests, which is more than anyone reads, for about a percent of a core.
+	linesPerSecond = 1000
 	// memoryShare is the share of the process's memory limit that the Go runtime aims at. The
 	// rest is for the kernel's buffers, which count as well.
 	memoryShare = 0.7
@@ -35,15 +35,16 @@
 
 // Run serves until SIGTERM or SIGINT, then stops gracefully.
 func (c sidecarCommand) Run(o *output) error {
-	queue := logqueue.New(o.out, logQueueLines)
-	defer queue.Close()
-	log, err := newLogger(queue, c.LogLevel)
+	level, err := zapcore.ParseLevel(c.LogLevel)
 	if err != nil {
 		return err
 	}
-	log = log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, linesPerSecond)
-	}))
+	registry := telemetry.New()
+	queue := logqueue.New(o.out, logqueue.Options{
+		Lines: logQueueLines, PerSecond: linesPerSecond, Telling: mesh.Telling, Dropped: mesh.DroppedLine(registry),
+	})
+	defer queue.Close()
+	log := zap.New(queue.Core(logqueue.NewEncoder(), level))
 	set, err := platform.LoadSettings(c.Settings, c.MetricsPort)
 	if err != nil {
 		return err
@@ -53,7 +54,7 @@
 	}
 	d := mesh.New(mesh.Options{
 		Settings: set.Mesh, Dialect: platform.Dialect{}, Decoder: platform.Decoder{},
-		Store: platform.NewStore(set.StoreAddress, mesh.Dial), Logger: log,
+		Store: platform.NewStore(set.StoreAddress, mesh.Dial), Logger: log, Metrics: registry,
 	})
 	if err := d.Start(); err != nil {
 		return err
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,69 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const entry = `level=info time=2026-04-17T08:40:37.500Z msg=attempt id=7f route=browse service=shop upstream=i-1 zone=a load_age=0.05 result=misplaced next=i-2
+level=info time=2026-04-17T08:40:37.900Z msg=refused id=7f route=browse service=shop upstream=i-2 result=refused wait=0.79 running=34 waiting=56 limit=34 code=shed status=503 reason=wait_too_long sent=0
+level=info time=2026-04-17T08:40:36.000Z msg="upstream removed" upstream=i-1 revision=7
+level=info time=2026-04-17T08:40:36.000Z msg="upstream removed" upstream=i-9 revision=8
+level=info time=2026-04-17T08:40:37.950Z msg=refused id=80 code=shed status=503 reason=all_asked sent=0
+not a line at all
+level=info time=yesterday msg=refused id=7f
+`
+
+const peer = `vm-2 level=info time=2026-04-17T08:40:37.800Z msg="slot refused" id=7f kind=browse waited=0.3 wait=0.79 reason=wait_too_long
+vm-2 level=info time=2026-04-17T08:40:37.850Z msg="backend exchange failed" id=7f.1 upstream=i-4 sent=true elapsed=0.2 reason=no_answer error="read answer: \"connection\" reset"
+`
+
+func read(id string) (*Story, error) {
+	r := NewReader(id)
+	So(r.Read("a.log", strings.NewReader(entry)), ShouldBeNil)
+	So(r.Read("b.log", strings.NewReader(peer)), ShouldBeNil)
+	return r.Story()
+}
+
+// Guards against a story that is out of order, lacks the other hop, mixes requests, or stops
+// at a line that can't be read.
+func TestStory(t *testing.T) {
+	Convey("The lines of a request over several logs are told in order", t, func() {
+		s, err := read("7f")
+		So(err, ShouldBeNil)
+		var events []string
+		for _, l := range s.Lines {
+			events = append(events, l.Event)
+		}
+		So(events, ShouldResemble, []string{"attempt", "slot refused", "backend exchange failed", "refused"})
+		So(s.Lines[1].Source, ShouldEqual, "b.log vm-2")
+		So(s.Around, ShouldHaveLength, 1)
+		So(s.Unreadable, ShouldEqual, 2)
+		var out strings.Builder
+		So(s.Write(&out), ShouldBeNil)
+		So(out.String(), ShouldContainSubstring, "+0.400 s  a.log  refused")
+		So(out.String(), ShouldContainSubstring, "-1.500 s  a.log  upstream removed")
+		So(out.String(), ShouldContainSubstring, "call 7f.1")
+		So(out.String(), ShouldContainSubstring, "cause: answered 503 (shed): the expected wait of 0.79 s for one of the 34 slots of upstream i-2, with 56 waiting, was more than the request could afford; it has not run")
+		So(out.String(), ShouldContainSubstring, `cause: its call 7f.1: the backend server of upstream i-4 broke off after 0.2 s: read answer: "connection" reset`)
+		So(out.String(), ShouldContainSubstring, "2 lines could not be read")
+	})
+	Convey("An unknown request is an error", t, func() {
+		_, err := read("no-such")
+		So(errors.Is(err, ErrUnknown), ShouldBeTrue)
+	})
+}
+
+// Guards against memory that a log without line ends takes.
+func TestLongLine(t *testing.T) {
+	Convey("An endless line counts as unreadable", t, func() {
+		r := NewReader("7f")
+		So(r.Read("a.log", strings.NewReader(strings.Repeat("7f", 2*maxLine)+"\n"+entry)), ShouldBeNil)
+		s, err := r.Story()
+		So(err, ShouldBeNil)
+		So(s.Unreadable, ShouldEqual, 3)
+	})
+}
--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // gatedWriter blocks until it is opened.
@@ -19,6 +21,10 @@
 	buf     bytes.Buffer
 }
 
+func newGatedWriter() *gatedWriter {
+	return &gatedWriter{entered: make(chan struct{}, 1), gate: make(chan struct{})}
+}
+
 func (w *gatedWriter) Write(p []byte) (int, error) {
 	select {
 	case w.entered <- struct{}{}:
@@ -30,25 +36,62 @@
 	return w.buf.Write(p)
 }
 
+func logger(q *Queue) *zap.Logger {
+	return zap.New(q.Core(NewEncoder(), zapcore.InfoLevel))
+}
+
 // Guards against a process that stands still because nobody reads its log, and against
 // dropped lines that leave no trace.
 func TestStuckWriter(t *testing.T) {
 	Convey("Given a writer that is stuck", t, func() {
-		w := &gatedWriter{entered: make(chan struct{}, 1), gate: make(chan struct{})}
-		q := New(w, 10)
-		_, _ = fmt.Fprintln(q, "first")
+		w := newGatedWriter()
+		dropped := 0
+		q := New(w, Options{Lines: 10, PerSecond: 10_000, Dropped: func(string) { dropped++ }})
+		log := logger(q)
+		log.Info("first")
 		<-w.entered
 		begun := time.Now()
-		for i := range 1000 {
-			_, err := fmt.Fprintf(q, "line %d\n", i)
-			So(err, ShouldBeNil)
+		for range 1000 {
+			log.Info("gate opened")
 		}
 		So(time.Since(begun), ShouldBeLessThan, time.Second)
 		close(w.gate)
 		q.Close()
 		text := w.buf.String()
-		So(text, ShouldStartWith, "first\n")
-		So(text, ShouldContainSubstring, "log lines dropped")
-		So(strings.Count(text, "line "), ShouldBeLessThanOrEqualTo, 12)
+		So(dropped, ShouldEqual, 990)
+		So(text, ShouldContainSubstring, "msg=first")
+		So(text, ShouldContainSubstring, `msg="log lines dropped"`)
+		So(text, ShouldContainSubstring, "events=gate_opened:990")
+		So(strings.Count(text, `msg="gate opened"`), ShouldEqual, 10)
+	})
+}
+
+// Guards against a log that grows with the load, and against decisions that are missing
+// from it because ordinary lines took their place. The load is ten times the budget.
+func TestTenTimesTheLoad(t *testing.T) {
+	Convey("Ordinary lines are dropped first, and the volume is bounded", t, func() {
+		const perSecond = 400
+		var buf bytes.Buffer
+		w := newGatedWriter()
+		close(w.gate)
+		q := New(w, Options{Lines: 4096, PerSecond: perSecond, Telling: func(e zapcore.Entry) bool { return e.Message == "refused" }})
+		log := logger(q)
+		const span = 500 * time.Millisecond
+		refused, ticker := 0, time.NewTicker(time.Millisecond)
+		defer ticker.Stop()
+		for end := time.Now().Add(span); time.Now().Before(end); <-ticker.C {
+			for range 8 {
+				log.Info("attempt")
+			}
+			if refused < perSecond/4 {
+				refused++
+				log.Info("refused", zap.String("id", fmt.Sprint("r", refused)))
+			}
+		}
+		q.Close()
+		buf.WriteString(w.buf.String())
+		lines := strings.Count(buf.String(), "\n")
+		So(lines, ShouldBeLessThan, int(perSecond*(1+span.Seconds()))+3)
+		So(strings.Count(buf.String(), "msg=refused"), ShouldEqual, refused)
 	})
 }
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -38,8 +38,7 @@
 type backend struct {
 	address string
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
-	opened  func(reused bool)   // counts connections
-	closed  func(reason string) // counts their ends
+	count   func(event string) // counts connections by what becomes of them
 
 	mu   sync.Mutex
 	idle []*backendConn // the latest used last
@@ -129,7 +128,7 @@
 
 // abort closes the connection.
 func (x *exchange) abort() {
-	x.backend.closed("aborted")
+	x.backend.count("aborted")
 	x.stop()
 	_ = x.conn.Close()
 }
@@ -138,7 +137,7 @@
 // it can be used again.
 func (x *exchange) finish() {
 	if !x.stop() || !x.reusable() {
-		x.backend.closed("not_reusable")
+		x.backend.count("not_reusable")
 		_ = x.conn.Close()
 		return
 	}
@@ -189,10 +188,10 @@
 			break
 		}
 		if time.Now().Before(c.expires) && quiet(c.Conn) {
-			b.opened(true)
+			b.count("reused")
 			return c, nil
 		}
-		b.closed("stale")
+		b.count("stale")
 		_ = c.Close()
 	}
 	ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
@@ -201,7 +200,7 @@
 	if err != nil {
 		return nil, errors.Wrap(errBackendDown, err.Error())
 	}
-	b.opened(false)
+	b.count("opened")
 	return &backendConn{Conn: raw, reader: bufio.NewReaderSize(raw, 4<<10)}, nil
 }
 
@@ -231,7 +230,7 @@
 	b.idle = kept
 	b.mu.Unlock()
 	for _, c := range old {
-		b.closed("idle")
+		b.count("idle")
 		_ = c.Close()
 	}
 }
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -25,7 +25,7 @@
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	c := &callerRequest{daemon: d, w: w, r: r, head: d.dialect.Request(r.Header), arrived: time.Now()}
 	if code := c.admit(); code != 0 {
-		c.refuse(code, notTakenReturn, "not_taken")
+		c.refuse(code, notTakenReturn, code.String())
 		return
 	}
 	c.run()
@@ -41,9 +41,11 @@
 
 	route  *routing.Route
 	flight *dispatch.Flight
-	body   []byte // the first part
-	more   bool   // r.Body holds the rest
-	spent  bool   // a part of the rest was sent
+	step   dispatch.Step   // the latest attempt
+	last   dispatch.Report // its outcome
+	body   []byte          // the first part
+	more   bool            // r.Body holds the rest
+	spent  bool            // a part of the rest was sent
 }
 
 // admit finds the route and reads the first part of the body.
@@ -116,17 +118,20 @@
 			c.refuse(step.Code, step.RetryAfter, step.Reason)
 			return
 		}
+		c.step, c.last = step, dispatch.Report{}
 		report, answer := c.attempt(ctx, step)
+		c.last = report
 		if ctx.Err() != nil {
 			d.mu.Lock()
 			d.dispatcher.Abandon(c.flight)
 			d.mu.Unlock()
 			answer.drop()
-			d.counters.add("caller_gone")
+			d.ended(c, outcomeGone)
+			d.log.Info(eventLeft, append(c.decided(), zap.Duration("held", time.Since(c.arrived)))...)
 			panic(http.ErrAbortHandler)
 		}
 		next := c.report(report)
-		d.logStep(c, step, report, next)
+		d.logStep(c, report, next)
 		if next.Deliver {
 			d.countCall(c.route, service, codes.OK)
 			c.deliver(answer)
@@ -163,11 +168,6 @@
 	ctx, cancel := context.WithDeadline(ctx, c.flight.Deadline)
 	defer cancel()
 	ask := c.ask(step)
-	if step.Upstream.Zone == c.daemon.set.Zone {
-		c.daemon.counters.add("attempts_near")
-	} else {
-		c.daemon.counters.add("attempts_far")
-	}
 	var reply Reply
 	var answer *delivery
 	var result dispatch.Result
@@ -196,7 +196,7 @@
 func (c *callerRequest) ask(step dispatch.Step) *AskArgs {
 	now := time.Now()
 	return &AskArgs{
-		ID: c.daemon.nextAttempt(), Instance: step.Upstream.ID, Kind: c.route.Name, Rank: c.route.Rank,
+		ID: c.daemon.nextAttempt(), RequestID: c.head.ID, Instance: step.Upstream.ID, Kind: c.route.Name, Rank: c.route.Rank,
 		CallerService:  c.daemon.set.Service,
 		Repeat:         c.flight.Sent() > 0,
 		UntilObjective: c.flight.Objective.Sub(now), Left: c.flight.Deadline.Sub(now), MayQueue: step.MayQueue,
@@ -213,7 +213,7 @@
 		target = c.r.URL.RequestURI() // the caller sent an absolute URI
 	}
 	return &Payload{
-		RequestID: c.head.ID, Method: c.r.Method, Target: target,
+		Method: c.r.Method, Target: target,
 		Host: c.r.Host, Header: c.daemon.headers.pack(hopheader.EndToEnd(c.r.Header)), Body: c.body, More: c.more, Length: length,
 	}
 }
@@ -369,19 +369,24 @@
 			more = !part.Last
 		}
 	}
-	c.daemon.counters.answered(time.Since(c.arrived))
 	if err != nil {
 		a.drop()
-		c.daemon.log.Info("answer broke off", zap.String("id", c.head.ID), errorField(err))
+		c.daemon.ended(c, outcomeBroken)
+		c.daemon.log.Info(eventBroken, zap.String("id", c.head.ID), errorField(err))
 		panic(http.ErrAbortHandler)
 	}
+	if a.answer.Failed {
+		c.daemon.ended(c, outcomeFailed)
+	} else {
+		c.daemon.ended(c, outcomeAnswered)
+	}
+	c.daemon.logAnswered(c, a.answer.Failed)
 }
 
 // refuse sends an answer of the daemon's own.
 func (c *callerRequest) refuse(code codes.Code, after time.Duration, reason string) {
 	d := c.daemon
 	status := d.dialect.Refuse(c.w.Header(), code, after)
-	d.counters.refused(code)
 	d.logRefusal(c, code, status, after, reason)
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
 	"github.com/hawthornpoint/hawthornpoint/core/watchers"
 	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
+	"github.com/hawthornpoint/hawthornpoint/internal/telemetry"
 )
 
 const (
@@ -66,11 +67,12 @@
 	Dialect  Dialect
 	Store    Store
 	Decoder  Decoder
-	// Logger, Rand, Listen and Dial have defaults.
-	Logger *zap.Logger
-	Rand   *rand.Rand
-	Listen func(network, address string) (net.Listener, error)
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// Logger, Metrics, Rand, Listen and Dial have defaults.
+	Logger  *zap.Logger
+	Metrics *telemetry.Registry
+	Rand    *rand.Rand
+	Listen  func(network, address string) (net.Listener, error)
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Daemon is one running daemon. Its methods are safe for concurrent use.
@@ -80,11 +82,12 @@
 	log      *zap.Logger
 	dialect  Dialect
 	headers  *headerCodec
-	counters *counters
+	metrics  *telemetry.Registry
 	started  time.Time
 	peerPort string
 	backend  *backend
 	attempts atomic.Uint64
+	answers  atomic.Uint64
 	routes   atomic.Pointer[routing.Table]
 
 	mu         sync.Mutex // guards what follows
@@ -131,6 +134,9 @@
 	if opts.Logger == nil {
 		opts.Logger = zap.NewNop()
 	}
+	if opts.Metrics == nil {
+		opts.Metrics = telemetry.New()
+	}
 	if opts.Rand == nil {
 		opts.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -143,7 +149,7 @@
 	set := opts.Settings
 	d := &Daemon{
 		opts: opts, set: set, log: opts.Logger, dialect: opts.Dialect,
-		headers: newHeaderCodec(opts.Dialect.Names()), counters: newCounters(),
+		headers: newHeaderCodec(opts.Dialect.Names()), metrics: opts.Metrics,
 		started: time.Now(), dir: directory.New(), station: slots.New(unknownSlots),
 		graph: callgraph.New(), meter: pressure.NewMeter(), entered: pressure.NewMeter(), gate: pressure.NewGate(opts.Rand.Float64), calls: make(map[string]bool),
 		splitter: routing.Splitter{Rand: opts.Rand},
@@ -151,8 +157,9 @@
 		waiting: make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.backend = &backend{address: set.BackendAddress, dial: opts.Dial, opened: d.counters.backendConnection,
-		closed: func(reason string) { d.counters.add("backend_connections_closed_" + reason) }}
+	d.backend = &backend{address: set.BackendAddress, dial: opts.Dial,
+		count: func(event string) { d.metrics.Count(metricBackend, event) }}
+	d.declareGauges()
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Zone: set.Zone, Rand: opts.Rand,
 		BudgetRatio: set.RetryRatio, BudgetSlack: set.RetrySlack, BudgetWindow: set.RetryWindow,
@@ -175,7 +182,7 @@
 	d.work(d.storeLoop)
 	d.work(d.peerLoop)
 	d.work(d.summaryLoop)
-	d.log.Info("started", zap.String("name", d.set.Name), zap.String("zone", d.set.Zone),
+	d.log.Info(eventStarted, zap.String("name", d.set.Name), zap.String("zone", d.set.Zone),
 		zap.String("service", d.set.Service), zap.String("backend", d.set.BackendAddress))
 	return nil
 }
@@ -220,12 +227,12 @@
 	d.callers.Handler = http.HandlerFunc(d.serveCaller)
 	d.callers.Limits = d.callerLimits
 	d.callers.Reject = func(remote net.Addr, status int, err error) {
-		d.counters.add("unparsable")
-		d.log.Info("request not parsed", zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
+		d.metrics.Count(metricBroken)
+		d.log.Info(eventUnreadable, zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
 	}
 	d.work(func() {
 		if err := d.callers.Serve(l); err != nil {
-			d.log.Error("listener failed", zap.String("address", d.set.CallerAddress), errorField(err))
+			d.log.Error(eventListener, zap.String("address", d.set.CallerAddress), errorField(err))
 		}
 	})
 	return nil
@@ -255,8 +262,8 @@
 	}
 	d.servers = append(d.servers, server)
 	d.work(func() {
-		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("listener failed", zap.String("address", address), errorField(err))
+		if err := server.Serve(l); d.ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error(eventListener, zap.String("address", address), errorField(err))
 		}
 	})
 	return nil
@@ -292,6 +299,9 @@
 
 func (d *Daemon) nextAttempt() uint64 { return d.attempts.Add(1) }
 
+// nextAnswer numbers the answers that were passed on without trouble.
+func (d *Daemon) nextAnswer() uint64 { return d.answers.Add(1) }
+
 func (d *Daemon) flightEnded() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -321,7 +331,7 @@
 	}
 	d.mu.Unlock()
 	for _, id := range gone {
-		d.log.Info("upstream gone", zap.String("upstream", id), zap.String("reason", "not listed after the return of the store"))
+		d.log.Info(eventGone, zap.String("upstream", id), zap.String("reason", "not listed after the return of the store"))
 	}
 	d.backend.closeIdle(now, false)
 }
@@ -351,7 +361,7 @@
 	d.station.Close()
 	d.mu.Unlock()
 	d.callers.Stop()
-	d.log.Info("stopping", zap.Duration("grace", d.set.Grace))
+	d.log.Info(eventStopping, zap.Duration("grace", d.set.Grace))
 	limit := begun.Add(time.Duration(stopShare * float64(d.set.Grace)))
 	for now := begun; now.Before(limit); now = time.Now() {
 		if !now.Before(d.takeUntil) && d.idle() {
@@ -360,7 +370,7 @@
 		time.Sleep(tickInterval)
 	}
 	d.callers.CloseIdle()
-	d.log.Info("stopped", zap.Bool("idle", d.idle()), zap.Duration("after", time.Since(begun)))
+	d.log.Info(eventStopped, zap.Bool("idle", d.idle()), zap.Duration("after", time.Since(begun)))
 	d.Close()
 }
 
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -78,8 +78,8 @@
 	d.mu.Unlock()
 	if err != nil {
 		if d.ctx.Err() == nil {
-			d.counters.add("sources_failed")
-			d.log.Info("source failed", zap.String("source", source), zap.Duration("doubtful", reply.Doubtful), errorField(err))
+			d.metrics.Count(metricSources)
+			d.log.Info(eventSource, zap.String("source", source), zap.Duration("doubtful", reply.Doubtful), errorField(err))
 		}
 		return
 	}
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -29,6 +29,7 @@
 // held is an attempt at the local backend server, from the question to the end.
 type held struct {
 	id       uint64 // at the station
+	request  string // the caller's ID of the request
 	instance string
 	kind     string
 	origin   string // the service of the VM where the request began
@@ -58,14 +59,18 @@
 // ask asks the station for a slot and, when the request came with the question, runs it.
 // The attempt ends with its context.
 func (d *Daemon) ask(h *held, a *AskArgs) Reply {
-	h.instance, h.kind, h.origin, h.repeat = a.Instance, a.Kind, a.CallerService, a.Repeat
-	deadline := time.Now().Add(a.Left)
+	h.request, h.instance, h.kind, h.origin, h.repeat = a.RequestID, a.Instance, a.Kind, a.CallerService, a.Repeat
+	asked := time.Now()
+	deadline := asked.Add(a.Left)
 	decision, refused := d.arrive(h, a)
 	if refused != 0 {
+		d.metrics.Count(metricSlots, string(decision.Reason))
 		return d.reply(h, refused, decision)
 	}
 	if decision.Verdict == slots.Wait {
+		d.metrics.Count(metricSlots, "wait")
 		decision = d.awaitSlot(h, a.Left)
+		d.waited(h, time.Since(asked), decision)
 	}
 	switch {
 	case decision.Reason == slots.Closed:
@@ -82,6 +87,19 @@
 	return d.run(h, a.Payload, time.Until(deadline))
 }
 
+// waited records the end of a wait for a slot.
+func (d *Daemon) waited(h *held, t time.Duration, decision slots.Decision) {
+	if decision.Verdict == slots.Start {
+		d.metrics.Count(metricSlots, "start")
+		d.metrics.Observe(metricQueueTime, t, h.kind, "start")
+		return
+	}
+	d.metrics.Count(metricSlots, string(decision.Reason))
+	d.metrics.Observe(metricQueueTime, t, h.kind, "refused")
+	d.log.Info(eventNoSlot, zap.String("id", h.request), zap.String("kind", h.kind), zap.String("origin", h.origin),
+		zap.Duration("waited", t), zap.Duration("wait", decision.Wait), zap.String("reason", string(decision.Reason)))
+}
+
 // arrive asks the station. An outcome other than 0 refuses the attempt.
 func (d *Daemon) arrive(h *held, a *AskArgs) (slots.Decision, Outcome) {
 	now := time.Now()
@@ -101,6 +119,9 @@
 	switch decision.Verdict {
 	case slots.Refuse:
 		return decision, OutcomeRefused
+	case slots.Start:
+		d.metrics.Count(metricSlots, "start")
+		d.metrics.Observe(metricQueueTime, 0, a.Kind, "start")
 	case slots.Wait:
 		h.decided = make(chan slots.Decision, 1)
 		d.waiting[h.id] = h
@@ -151,7 +172,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.dispatchEvents(d.station.Cancelled(time.Now(), h.id))
-	d.log.Debug("grant withdrawn", zap.String("reason", reason))
+	d.log.Info(eventWithdrawn, zap.String("id", h.request), zap.String("kind", h.kind), zap.String("reason", reason))
 }
 
 // claim turns a granted slot into a run. It reports false when the slot was given back.
@@ -245,9 +266,9 @@
 	x, sent, err := d.backend.roundTrip(ctx, late, req)
 	if err != nil {
 		h.stopRun()
-		return d.failed(ctx, h, p, sent, err)
+		return d.failed(ctx, h, sent, started, err)
 	}
-	return d.read(ctx, h, p, x, started)
+	return d.read(ctx, h, x, started)
 }
 
 func (d *Daemon) backendRequest(ctx context.Context, h *held, p *Payload, left time.Duration) (*http.Request, error) {
@@ -263,7 +284,7 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps the library from adding one
 	}
-	d.dialect.Prepare(header, UpstreamHead{RequestID: p.RequestID, Left: left, Instance: h.instance, CallerService: h.origin})
+	d.dialect.Prepare(header, UpstreamHead{RequestID: h.request, Left: left, Instance: h.instance, CallerService: h.origin})
 	req := &http.Request{Method: p.Method, URL: target, Host: p.Host, Header: header, ContentLength: p.Length,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	switch {
@@ -282,7 +303,7 @@
 }
 
 // failed classifies a request without an answer.
-func (d *Daemon) failed(ctx context.Context, h *held, p *Payload, sent bool, err error) Reply {
+func (d *Daemon) failed(ctx context.Context, h *held, sent bool, started time.Time, err error) Reply {
 	d.done(h, slots.Outcome{Failed: true})
 	outcome, reason := OutcomeLost, "no_answer"
 	switch {
@@ -293,29 +314,32 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		outcome, reason = OutcomeExpired, "time_over"
 	}
-	d.log.Info("backend exchange failed", zap.String("id", p.RequestID), zap.String("kind", h.kind),
-		zap.Bool("sent", sent), zap.String("reason", reason), errorField(err))
+	elapsed := time.Since(started)
+	d.metrics.Observe(metricBackendTime, elapsed, h.kind, reason)
+	d.log.Info(eventExchange, zap.String("id", h.request), zap.String("kind", h.kind), zap.String("upstream", h.instance),
+		zap.Bool("sent", sent), zap.Duration("elapsed", elapsed), zap.String("reason", reason), errorField(err))
 	return d.reply(h, outcome, slots.Decision{Reason: slots.Reason(reason)})
 }
 
 // read reads the first part of the answer.
-func (d *Daemon) read(ctx context.Context, h *held, p *Payload, x *exchange, started time.Time) Reply {
-	head, err := d.ownAnswer(p, x)
+func (d *Daemon) read(ctx context.Context, h *held, x *exchange, started time.Time) Reply {
+	head, err := d.ownAnswer(h, x)
 	if err != nil {
 		x.abort()
-		return d.failed(ctx, h, p, true, err)
+		return d.failed(ctx, h, true, started, err)
 	}
 	if !head.OwnAnswer {
 		x.abort()
-		return d.failed(ctx, h, p, true, errors.New("the answer belongs to another request"))
+		return d.failed(ctx, h, true, started, errors.New("the answer belongs to another request"))
 	}
 	data, last, err := readPart(x.response.Body, inlineBytes, x.response.ContentLength)
 	if err != nil {
 		x.abort()
-		return d.failed(ctx, h, p, true, errors.Wrap(err, "read body"))
+		return d.failed(ctx, h, true, started, errors.Wrap(err, "read body"))
 	}
 	elapsed := time.Since(started)
 	d.done(h, slots.Outcome{Elapsed: elapsed, Rejected: head.NotExecuted, Failed: head.Failed})
+	d.metrics.Observe(metricBackendTime, elapsed, h.kind, exchangeOutcome(head))
 	switch {
 	case last:
 		x.finish()
@@ -340,15 +364,25 @@
 	return r
 }
 
+func exchangeOutcome(head AnswerHead) string {
+	switch {
+	case head.NotExecuted:
+		return "not_run"
+	case head.Failed:
+		return "failed"
+	}
+	return "answered"
+}
+
 // ownAnswer passes over answers to other requests. A backend server may send a second answer
 // to an earlier request of the connection, late; the own one follows it.
-func (d *Daemon) ownAnswer(p *Payload, x *exchange) (AnswerHead, error) {
+func (d *Daemon) ownAnswer(h *held, x *exchange) (AnswerHead, error) {
 	for {
-		head := d.dialect.Answer(p.RequestID, x.response.StatusCode, x.response.Header)
+		head := d.dialect.Answer(h.request, x.response.StatusCode, x.response.Header)
 		if !head.Foreign {
 			return head, nil
 		}
-		d.counters.add("foreign_answers")
+		d.metrics.Count(metricForeign)
 		if err := x.skip(); err != nil {
 			return head, errors.Wrap(err, "after an answer to another request")
 		}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -14,8 +14,6 @@
 
 // Payload is a request on its way to the backend server.
 type Payload struct {
-	// RequestID is the caller's ID of the request.
-	RequestID      string
 	Method, Target string
 	Host           string
 	// Header is packed by a headerCodec.
@@ -29,8 +27,10 @@
 
 // AskArgs asks for a slot. It is exported for net/rpc.
 type AskArgs struct {
-	// ID identifies the attempt on its connection.
-	ID uint64
+	// ID identifies the attempt on its connection, and RequestID is the caller's ID of the
+	// request.
+	ID        uint64
+	RequestID string
 	// Instance is the upstream that is asked.
 	Instance string
 	// Kind and Rank say what the request is, and CallerService is the service of the VM
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -145,7 +145,7 @@
 			link.close()
 			return
 		case pending > 0 && silent > deadAfter:
-			d.log.Warn("peer connection silent", zap.String("peer", p.address), zap.Duration("silent", silent), zap.Int64("calls", pending))
+			d.log.Warn(eventSilent, zap.String("peer", p.address), zap.Duration("silent", silent), zap.Int64("calls", pending))
 			link.close()
 			return
 		case pending > 0 && silent > pingAfter:
--- a/mesh/pressure.go
+++ b/mesh/pressure.go
@@ -31,7 +31,7 @@
 }
 
 func (c *callerRequest) refuseEarly(service string, r *pressure.Refusal) {
-	c.daemon.log.Info("not let in", zap.String("id", c.head.ID), zap.String("service", service),
+	c.daemon.log.Info(eventNotLetIn, zap.String("id", c.head.ID), zap.String("service", service),
 		zap.String("blocked", r.Service), zap.Float64("level", r.Level), zap.Int("rank", c.route.Rank))
 	after := leastReturn + time.Duration(float64(returnSpan)*min(r.Level, 1))
 	c.refuse(codes.ShedEarly, after, "blocked_below")
@@ -95,7 +95,7 @@
 	before := len(d.gate.Levels())
 	d.gate.Tick(now)
 	if levels := d.gate.Levels(); len(levels) != before {
-		d.log.Info("gate", zap.String("levels", fmt.Sprint(levels)))
+		d.log.Info(eventGate, zap.String("levels", fmt.Sprint(levels)))
 	}
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		update, err := d.readStore(list)
-		d.counters.add("store_reads")
+		d.metrics.Count(metricReads, readResult(err))
 		switch {
 		case err == nil:
 			d.storeAnswered(failures)
@@ -68,7 +68,7 @@
 			list, failures = false, 0
 			continue
 		case errors.Is(err, ErrCompacted):
-			d.log.Info("store history compacted", zap.Int64("revision", d.asOf()))
+			d.log.Info(eventCompacted, zap.Int64("revision", d.asOf()))
 			list = true
 			continue
 		case d.ctx.Err() != nil:
@@ -80,6 +80,16 @@
 	}
 }
 
+func readResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrCompacted):
+		return "compacted"
+	}
+	return "failed"
+}
+
 // pause waits, or until the daemon ends.
 func (d *Daemon) pause(t time.Duration) {
 	timer := time.NewTimer(t)
@@ -124,12 +134,11 @@
 	d.dir.StoreBack(time.Now())
 	d.mu.Unlock()
 	if regained {
-		d.log.Info("store regained", zap.Int("failed_reads", failures))
+		d.log.Info(eventStoreBack, zap.Int("failed_reads", failures))
 	}
 }
 
 func (d *Daemon) storeFailed(failures int, err error) {
-	d.counters.add("store_reads_failed")
 	if failures < failuresUntilAway {
 		return
 	}
@@ -140,7 +149,7 @@
 	d.stopWatching()
 	d.mu.Unlock()
 	if lost {
-		d.log.Warn("store lost", zap.Int("failed_reads", failures), errorField(err))
+		d.log.Warn(eventStoreLost, zap.Int("failed_reads", failures), errorField(err))
 		d.wakePeerLoop()
 	}
 }
@@ -159,13 +168,13 @@
 	for _, item := range changed {
 		change, err := d.opts.Decoder.Decode(now, item)
 		if err != nil {
-			d.counters.add("items_unreadable")
-			d.log.Warn("item not readable", zap.String("key", item.Key), zap.Int64("revision", item.Revision), errorField(err))
+			d.metrics.Count(metricItems)
+			d.log.Warn(eventItem, zap.String("key", item.Key), zap.Int64("revision", item.Revision), errorField(err))
 		}
 		d.change(now, change, item.Revision, source)
 	}
 	if len(changed) > 0 {
-		d.log.Debug("replica updated", zap.String("source", source), zap.Int64("revision", asOf), zap.Int("changes", len(changed)))
+		d.log.Debug(eventUpdated, zap.String("source", source), zap.Int64("revision", asOf), zap.Int("changes", len(changed)))
 	}
 	return len(changed)
 }
@@ -183,7 +192,7 @@
 			ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 			defer cancel()
 			if _, err := callPeer[PingReply](ctx, d.peer(address), "Ping", args); err != nil {
-				d.counters.add("peer_notices_failed")
+				d.metrics.Count(metricNotices)
 			}
 		})
 	}
@@ -216,7 +225,7 @@
 				d.dispatchEvents(d.station.Evict())
 			}
 		}
-		d.log.Info("upstream listed", zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
+		d.log.Info(eventListed, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
 			zap.Bool("draining", u.Draining), zap.Int64("incarnation", u.Incarnation), zap.Int64("revision", revision), zap.String("source", source))
 	case c.Gone != "":
 		own, _ := d.dir.At(d.set.BackendAddress)
@@ -225,7 +234,7 @@
 			d.dispatchEvents(d.station.Evict())
 		}
 		d.dispatcher.Forget()
-		d.log.Info("upstream removed", zap.String("upstream", c.Gone), zap.Bool("store_away", d.storeAway),
+		d.log.Info(eventRemoved, zap.String("upstream", c.Gone), zap.Bool("store_away", d.storeAway),
 			zap.Int64("revision", revision), zap.String("source", source))
 	}
 }
@@ -236,14 +245,14 @@
 		return
 	}
 	if err := c.Check(); err != nil {
-		d.counters.add("configs_refused")
-		d.log.Error("configuration refused", zap.Uint64("version", c.Version), zap.Int64("revision", revision), errorField(err))
+		d.metrics.Count(metricConfigs, "refused")
+		d.log.Error(eventNoConfig, zap.Uint64("version", c.Version), zap.Int64("revision", revision), errorField(err))
 		return
 	}
 	d.routes.Store(routing.NewTable(c))
 	d.splitter.Keep(c)
-	d.counters.add("configs_accepted")
-	d.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)),
+	d.metrics.Count(metricConfigs, "in_force")
+	d.log.Info(eventConfig, zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)),
 		zap.Int64("revision", revision), zap.String("source", source))
 }
 
@@ -316,10 +325,10 @@
 	defer cancel()
 	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{After: d.asOf()})
 	if err != nil {
-		d.counters.add("peer_syncs_failed")
+		d.metrics.Count(metricSyncs, "failed")
 		return
 	}
-	d.counters.add("peer_syncs")
+	d.metrics.Count(metricSyncs, "ok")
 	if d.apply(reply.Update, "peer "+address) > 0 {
 		d.notifyPeers()
 	}
