Avoid upstreams that take no new work or were replaced

Change: an upstream that leaves is avoided for 1 s, one that was replaced as a silent one is, unless no other is left. Test: TestAvoided.

--- a/core/dispatch/beliefs.go
+++ b/core/dispatch/beliefs.go
@@ -19,6 +19,9 @@
 	// avoided; it doubles with each further silence.
 	firstSuspicion = 250 * time.Millisecond
 	maxSuspicion   = 2 * time.Second
+	// leavingPause is how long an upstream is avoided whose daemon takes no new work. A
+	// daemon that is restarted is back after some seconds; others are asked meanwhile.
+	leavingPause = time.Second
 	// excessFailures is how far the share of failed runs of an upstream must be above that
 	// of the best one for others to be preferred. Failures of a service further down show
 	// at all upstreams alike, and going elsewhere does not help then.
@@ -63,6 +66,12 @@
 	b.until = now.Add(min(pause, maxSuspicion))
 }
 
+// leaving records that the upstream takes no new work.
+func (b *belief) leaving(now time.Time) {
+	b.silences = 0
+	b.until = now.Add(leavingPause)
+}
+
 func (b *belief) replied() {
 	b.silences = 0
 	b.until = time.Time{}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -297,8 +297,10 @@
 		b.reported(now, r.Load)
 	}
 	switch r.Result {
-	case Silent:
+	case Silent, Misplaced:
 		b.silent(now)
+	case Leaving:
+		b.leaving(now)
 	case Answered:
 		b.replied()
 		b.result(now, false)
@@ -309,7 +311,7 @@
 	case Lost:
 		b.silent(now)
 		b.result(now, true)
-	case Refused, Leaving, Misplaced:
+	case Refused:
 		b.replied()
 	}
 	if r.Result.Sent() {
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -169,6 +169,28 @@
 	})
 }
 
+// Guards against asking an upstream again for each request that has said that it takes no
+// new work, or that another one is at its address.
+func TestAvoided(t *testing.T) {
+	for name, result := range map[string]Result{"leaves": Leaving, "has been replaced": Misplaced} {
+		Convey("An upstream that "+name+" is avoided, unless it is the only one", t, func() {
+			d, dir := fleet(3)
+			f := open(d, false)
+			avoided := d.Next(start, f).Upstream.ID
+			d.Report(start, f, Report{Result: result, Repeatable: true})
+			for range 100 {
+				So(d.Next(start, open(d, true)).Upstream.ID, ShouldNotEqual, avoided)
+			}
+			for _, u := range dir.All() {
+				if u.ID != avoided {
+					dir.Remove(start, u.ID)
+				}
+			}
+			So(d.Next(start, open(d, true)).Upstream.ID, ShouldEqual, avoided)
+		})
+	}
+}
+
 // Guards against asking a silent upstream again and again, and against never trying it again.
 func TestSilence(t *testing.T) {
 	Convey("A silent upstream is avoided for a while", t, func() {
