Notice silent sources, blocked writers and ended connections; end doubts in time

Change: doubts of a source that does not watch are ignored, and no removed upstream stays longer than the grace while the store answers; a source is noticed as silent after 1 s and tried with a short question before it is followed again, from the store meanwhile; writes between daemons end after 1 s; a connection's end is noted by its reader first.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -37,8 +37,9 @@
 // entry is an upstream with the reason for which it is still listed.
 type entry struct {
 	Upstream
-	// lapsed says that the store no longer lists the upstream.
-	lapsed bool
+	// lapsed says that the store no longer lists the upstream, since lapsedAt.
+	lapsed   bool
+	lapsedAt time.Time
 }
 
 // Directory holds the upstreams of all services.
@@ -81,7 +82,9 @@
 		return
 	}
 	if !e.Draining && d.unsure(now) {
-		e.lapsed = true
+		if !e.lapsed {
+			e.lapsed, e.lapsedAt = true, now
+		}
 		return
 	}
 	delete(d.entries, id)
@@ -104,7 +107,7 @@
 }
 
 // Doubt tells that a vanished entry may belong to a living upstream for a time from now on,
-// because the store has been out of reach of those who tell of it.
+// because the store has just come back for the one that tells of its changes.
 func (d *Directory) Doubt(now time.Time, left time.Duration) {
 	if back := now.Add(left - ReturnGrace); left > 0 && back.After(d.backAt) {
 		d.backAt = back
@@ -123,14 +126,16 @@
 	return max(ReturnGrace-now.Sub(d.backAt), 0)
 }
 
-// Expire removes lapsed upstreams whose grace has ended and returns their IDs.
+// Expire removes lapsed upstreams whose grace has ended and returns their IDs. While the
+// store answers, no upstream stays for longer than the grace, however often doubts arise.
 func (d *Directory) Expire(now time.Time) []string {
-	if d.unsure(now) {
+	if d.storeAway {
 		return nil
 	}
+	unsure := d.unsure(now)
 	var gone []string
 	for id, e := range d.entries {
-		if e.lapsed {
+		if e.lapsed && (!unsure || now.Sub(e.lapsedAt) >= ReturnGrace) {
 			delete(d.entries, id)
 			gone = append(gone, id)
 			d.byService = nil
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -90,3 +90,30 @@
 		So(names(d, "s"), ShouldResemble, []string{"u2"})
 	})
 }
+
+// Guards against requests at an upstream that has left, because daemons that had lost the
+// store for themselves kept raising doubts about its removal.
+func TestDoubtsEnd(t *testing.T) {
+	Convey("A removed upstream stays for the grace at most while the store answers", t, func() {
+		d := New()
+		d.Put(Upstream{ID: "u", Service: "s", Address: "1:1"})
+		d.Doubt(start, ReturnGrace)
+		d.Remove(start, "u")
+		So(d.Serving("s"), ShouldHaveLength, 1)
+		for at := time.Duration(0); at < ReturnGrace; at += 100 * time.Millisecond {
+			d.Doubt(start.Add(at), ReturnGrace)
+			d.Remove(start.Add(at), "u")
+			So(d.Expire(start.Add(at)), ShouldBeEmpty)
+		}
+		So(d.Expire(start.Add(ReturnGrace)), ShouldResemble, []string{"u"})
+		So(d.Serving("s"), ShouldBeEmpty)
+	})
+	Convey("A doubt that is over keeps nothing", t, func() {
+		d := New()
+		d.Put(Upstream{ID: "u", Service: "s", Address: "1:1"})
+		d.Doubt(start, 100*time.Millisecond)
+		So(d.Doubtful(start), ShouldEqual, 100*time.Millisecond)
+		d.Remove(start.Add(200*time.Millisecond), "u")
+		So(d.Serving("s"), ShouldBeEmpty)
+	})
+}
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -11,12 +11,11 @@
 )
 
 const (
-	// followWait is how long a source keeps the question of a follower. A source that has
-	// gone silent is noticed after this and followSlack; changes reach the follower by
-	// notices of other daemons meanwhile.
-	followWait = time.Second
-	// followSlack is how much later the answer of a source may come.
-	followSlack = 500 * time.Millisecond
+	// followWait is how long a source keeps the question of a follower, and followSlack how
+	// much later its answer may come. A source that has gone silent is noticed after both,
+	// which leaves time to hear of a change from the store itself before it must be in force.
+	followWait  = 700 * time.Millisecond
+	followSlack = 300 * time.Millisecond
 	// maxFollow bounds followWait as another daemon asks for it.
 	maxFollow = 5 * time.Second
 )
@@ -31,17 +30,6 @@
 	return fleet
 }
 
-// source returns the upstream address of the daemon to follow; empty to read the store.
-func (d *Daemon) source() string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	source := d.sources.Source(time.Now(), d.fleet())
-	if source != "" {
-		d.stopWatching()
-	}
-	return source
-}
-
 // stopWatching tells followers to take another source. d.mu is held.
 func (d *Daemon) stopWatching() {
 	if d.watching {
@@ -56,34 +44,55 @@
 	d.changed = make(chan struct{})
 }
 
-// follow waits once for changes at another daemon.
-func (d *Daemon) follow(source string) {
-	ctx, cancel := context.WithTimeout(d.ctx, followWait+followSlack)
-	defer cancel()
-	link, err := d.peer(d.peerAddress(source)).connect(ctx)
-	var reply FollowReply
-	if err == nil {
-		args := &FollowArgs{After: d.asOf(), Wait: followWait, From: d.set.BackendAddress}
-		reply, err = awaitLink[FollowReply](ctx, link, "Follow", args)
+// follow waits once for changes at the daemon that is this one's source. It reports false
+// when this daemon has to read the store itself: there is no source, or it failed. If
+// following is false the source is only asked whether it would serve.
+func (d *Daemon) follow(following bool) bool {
+	d.mu.Lock()
+	source := d.sources.Source(time.Now(), d.fleet())
+	d.mu.Unlock()
+	if source == "" {
+		return false
 	}
-	if err == nil && !reply.Watching {
-		err = errors.New("does not watch the store")
+	wait := followWait
+	if !following {
+		wait = 0
 	}
+	reply, err := d.askSource(source, wait)
 	now := time.Now()
 	d.mu.Lock()
-	d.dir.Doubt(now, reply.Doubtful)
 	if err != nil {
+		// The source may be the only one that has lost the store: its doubts do not count.
 		d.sources.Away(now, source)
+	} else {
+		d.dir.Doubt(now, reply.Doubtful)
+		d.stopWatching()
 	}
 	d.mu.Unlock()
 	if err != nil {
 		if d.ctx.Err() == nil {
 			d.metrics.Count(metricSources)
-			d.log.Info(eventSource, zap.String("source", source), zap.Duration("doubtful", reply.Doubtful), errorField(err))
+			d.log.Info(eventSource, zap.String("source", source), errorField(err))
 		}
-		return
+		return false
 	}
 	d.apply(reply.Update, "watcher "+source)
+	return true
+}
+
+func (d *Daemon) askSource(source string, wait time.Duration) (FollowReply, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, wait+followSlack)
+	defer cancel()
+	link, err := d.peer(d.peerAddress(source)).connect(ctx)
+	if err != nil {
+		return FollowReply{}, err
+	}
+	args := &FollowArgs{After: d.asOf(), Wait: wait, From: d.set.BackendAddress}
+	reply, err := awaitLink[FollowReply](ctx, link, "Follow", args)
+	if err == nil && !reply.Watching {
+		err = errors.New("does not watch the store")
+	}
+	return reply, err
 }
 
 // awaitChanges returns what changes after a revision, or nothing after the wait.
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -48,10 +48,24 @@
 	broken  atomic.Bool
 }
 
-// hearingConn notes when bytes arrive.
+// hearingConn notes when bytes arrive, and when the connection ends: before the library
+// does, so that a call that finds it open was sent.
 type hearingConn struct {
 	net.Conn
-	heard func()
+	heard, ended func()
+}
+
+// Write implements net.Conn. A peer that takes nothing for deadAfter is given up: writers
+// would wait for it beyond the time of their calls.
+func (c *hearingConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(deadAfter)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.ended()
+	}
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -60,6 +74,9 @@
 	if n > 0 {
 		c.heard()
 	}
+	if err != nil {
+		c.ended()
+	}
 	return n, err
 }
 
@@ -118,7 +135,7 @@
 	}
 	link := &peerLink{since: d.started}
 	link.hear()
-	link.client = rpc.NewClient(&hearingConn{Conn: c, heard: link.hear})
+	link.client = rpc.NewClient(&hearingConn{Conn: c, heard: link.hear, ended: func() { link.broken.Store(true) }})
 	d.work(func() { p.watch(link) })
 	return link, nil
 }
@@ -186,12 +203,31 @@
 		l.hear() // silence counts from the first call that waits
 	}
 	defer l.pending.Add(-1)
-	return awaitLink[T](ctx, l, method, args)
+	return waitLink[T](ctx, l, method, args)
 }
 
 // awaitLink is callLink for a call that may stay unanswered for long: the connection is not
-// tested meanwhile.
+// tested meanwhile, and one that can't be written to delays the caller no longer than ctx.
 func awaitLink[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
+	type result struct {
+		reply T
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		r, err := waitLink[T](ctx, l, method, args)
+		done <- result{r, err}
+	}()
+	select {
+	case r := <-done:
+		return r.reply, r.err
+	case <-ctx.Done():
+		var none T
+		return none, ctx.Err()
+	}
+}
+
+func waitLink[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
 	var none T
 	if l.broken.Load() {
 		return none, errUnreachable
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -47,11 +47,13 @@
 
 // storeLoop keeps the replica up to date from the store, or from a daemon that watches it.
 func (d *Daemon) storeLoop() {
-	list, failures := true, 0
+	list, failures, following := true, 0, false
 	for d.ctx.Err() == nil {
-		if source := d.source(); !list && failures == 0 && source != "" {
-			d.follow(source)
-			continue
+		if !list && failures == 0 {
+			// A source is tried shortly first: while it does not answer, nothing is heard.
+			if following = d.follow(following); following {
+				continue
+			}
 		}
 		update, err := d.readStore(list)
 		d.metrics.Count(metricReads, readResult(err))
