Take changed settings while the daemon runs

Cause: settings that changed were only logged at SIGHUP, and took effect at the next start; a change without a signal was not noticed. Change: the file is read at SIGHUP and each second; seeds, grace time and the bounds of repeats hold at once, other changes are named as needing a new start, and a wrong file leaves the settings in force and is logged once. Ruled out: watching the file by inotify, which the platform does not have.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -91,10 +91,15 @@
 		b = retry.NewWindowBudget(budgetShare*d.cfg.BudgetRatio, 0, d.cfg.BudgetWindow)
 		d.budgets[service] = b
 	}
-	b.SetSlack(budgetShare * d.cfg.BudgetSlack / float64(max(d.dir.Len(), 1)))
+	b.SetBounds(budgetShare*d.cfg.BudgetRatio, budgetShare*d.cfg.BudgetSlack/float64(max(d.dir.Len(), 1)))
 	return b
 }
 
+// SetBudget changes the bounds of repeats; the window stays as it is.
+func (d *Dispatcher) SetBudget(ratio, slack float64) {
+	d.cfg.BudgetRatio, d.cfg.BudgetSlack = ratio, slack
+}
+
 // belief returns what is known of an upstream. A new incarnation is unknown.
 func (d *Dispatcher) belief(u directory.Upstream) *belief {
 	b := d.beliefs[u.ID]
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -27,8 +27,9 @@
 	return &WindowBudget{ratio: ratio, slack: slack, length: max(window/windowBuckets, time.Millisecond)}
 }
 
-// SetSlack changes the fixed part, which depends on the size of the fleet.
-func (b *WindowBudget) SetSlack(slack float64) { b.slack = slack }
+// SetBounds changes the ratio and the fixed part, which depends on the size of the fleet.
+// What was counted stays counted.
+func (b *WindowBudget) SetBounds(ratio, slack float64) { b.ratio, b.slack = ratio, slack }
 
 // Request records a request for the destination.
 func (b *WindowBudget) Request(now time.Time) { b.at(now).requests++ }
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -4,8 +4,10 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -22,6 +24,9 @@
 	// linesPerSecond bounds the log lines in a second: some hundred decisions against
 	// requests, which is more than anyone reads, for about a percent of a core.
 	linesPerSecond = 1000
+	// settingsInterval is how often the settings file is read for changes that no signal tells
+	// of. Reading it takes some 50 us.
+	settingsInterval = time.Second
 	// memoryShare is the share of the process's memory limit that the Go runtime aims at. The
 	// rest is for the kernel's buffers, which count as well.
 	memoryShare = 0.7
@@ -59,19 +64,40 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer release()
+	c.reload(stop, log, d, set.Mesh)
+	d.Shutdown()
+	return nil
+}
+
+// reload puts changes of the settings file in force until stop ends. The file may change with
+// SIGHUP or without a signal. A file that is wrong leaves the settings in force.
+func (c sidecarCommand) reload(stop context.Context, log *zap.Logger, d *mesh.Daemon, inForce mesh.Settings) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	look := time.NewTicker(settingsInterval)
+	defer look.Stop()
+	refused := ""
 	for {
+		signaled := false
 		select {
-		case <-reload:
-			log.Info("reload", zap.String("settings", c.Settings))
-			continue
 		case <-stop.Done():
+			return
+		case <-hup:
+			signaled = true
+		case <-look.C:
+		}
+		set, err := platform.LoadSettings(c.Settings, c.MetricsPort)
+		switch {
+		case err != nil && (signaled || err.Error() != refused):
+			refused = err.Error()
+			log.Error("settings refused", zap.String("error", refused), zap.Bool("signaled", signaled))
+		case err == nil && (signaled || !reflect.DeepEqual(set.Mesh, inForce)):
+			refused = ""
+			inForce = set.Mesh
+			d.Reconfigure(inForce)
 		}
-		break
 	}
-	d.Shutdown()
-	return nil
 }
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -107,6 +107,8 @@
 	calls      map[string]bool // routes on which the local backend server makes calls
 	gateTicked time.Time
 	stopping   bool
+	grace      time.Duration // of Shutdown
+	seeds      []string
 	takeUntil  time.Time // when a stopping daemon takes no more requests of callers
 	storeAway  bool
 	// watching says that the last read of the store was this daemon's own and successful.
@@ -156,6 +158,7 @@
 		sources:  watchers.New(watchers.Daemon{Address: set.BackendAddress, Zone: set.Zone}), changed: make(chan struct{}),
 		waiting: make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
 	}
+	d.grace, d.seeds = set.Grace, set.Seeds
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.backend = &backend{address: set.BackendAddress, dial: opts.Dial,
 		count: func(event string) { d.metrics.Count(metricBackend, event) }}
@@ -356,13 +359,14 @@
 func (d *Daemon) Shutdown() {
 	begun := time.Now()
 	d.mu.Lock()
+	grace := d.grace
 	d.stopping = true
-	d.takeUntil = begun.Add(time.Duration(takeShare * float64(d.set.Grace)))
+	d.takeUntil = begun.Add(time.Duration(takeShare * float64(grace)))
 	d.station.Close()
 	d.mu.Unlock()
 	d.callers.Stop()
-	d.log.Info(eventStopping, zap.Duration("grace", d.set.Grace))
-	limit := begun.Add(time.Duration(stopShare * float64(d.set.Grace)))
+	d.log.Info(eventStopping, zap.Duration("grace", grace))
+	limit := begun.Add(time.Duration(stopShare * float64(grace)))
 	for now := begun; now.Before(limit); now = time.Now() {
 		if !now.Before(d.takeUntil) && d.idle() {
 			break
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -7,6 +7,7 @@
 	eventStarted   = "started"
 	eventStopping  = "stopping"
 	eventStopped   = "stopped"
+	eventReload    = "settings changed"
 	eventSummary   = "summary"
 	eventListener  = "listener failed"
 	eventStoreLost = "store lost"
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -310,7 +310,7 @@
 	}
 	known := d.peerAddresses()
 	if len(known) == 0 {
-		for _, seed := range d.set.Seeds {
+		for _, seed := range d.seeds {
 			if seed != d.set.ControlAddress {
 				known = append(known, seed)
 			}
