--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -95,3 +96,21 @@
 		So(strings.Count(buf.String(), "msg=refused"), ShouldEqual, refused)
 	})
 }
+
+// BenchmarkLine measures a typical line from the call to the writer, and a line that is
+// dropped.
+func BenchmarkLine(b *testing.B) {
+	for _, perSecond := range []int{1 << 30, 1} {
+		b.Run(fmt.Sprint("budget-", perSecond), func(b *testing.B) {
+			q := New(io.Discard, Options{Lines: 4096, PerSecond: perSecond})
+			log := logger(q)
+			for b.Loop() {
+				log.Info("attempt", zap.String("id", "9c41d07be2a35f68"), zap.String("route", "browse"), zap.String("service", "shop"),
+					zap.String("upstream", "i-cdb25404d2"), zap.String("zone", "a"), zap.Duration("load_age", 50*time.Millisecond),
+					zap.String("result", "refused"), zap.Duration("wait", time.Millisecond), zap.Int("running", 40), zap.Int("waiting", 17),
+					zap.Int("limit", 40), zap.Duration("left", time.Second), zap.String("reason", "wait_too_long"))
+			}
+			q.Close()
+		})
+	}
+}
