--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -1,6 +1,9 @@
 package explain
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Causes says in sentences why the request, and calls that were made for it, ended as they
 // did. It is empty for a request without trouble.
@@ -20,6 +23,13 @@
 			causes = append(causes, cause)
 		}
 	}
+	for i := range s.Around {
+		l := &s.Around[i]
+		if l.Event == "daemon started again" && s.lost(l.Get("upstream")) {
+			causes = append(causes, fmt.Sprintf("the daemon beside upstream %s had ended; it started again at %s",
+				l.Get("upstream"), l.Time.UTC().Format(time.RFC3339Nano)))
+		}
+	}
 	return causes
 }
 
@@ -40,6 +50,16 @@
 	return false
 }
 
+// lost reports whether an attempt at the upstream has no known end.
+func (s *Story) lost(upstream string) bool {
+	for i := range s.Lines {
+		if l := &s.Lines[i]; l.Event == "attempt" && l.Get("result") == "lost" && l.Get("upstream") == upstream {
+			return true
+		}
+	}
+	return false
+}
+
 // cause explains a line that ends a request or an exchange against its caller.
 func cause(l *Line) string {
 	switch l.Event {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -67,6 +67,7 @@
 	id         string
 	lines      []Line
 	upstreams  []Line // of all upstreams
+	starts     []Line // of daemons
 	unreadable int
 }
 
@@ -114,7 +115,7 @@
 func (r *Reader) take(name, text string) {
 	// Most lines are of other requests; these are not decoded.
 	mine := strings.Contains(text, r.id)
-	if !mine && !strings.Contains(text, "upstream") {
+	if !mine && !strings.Contains(text, "upstream") && !strings.Contains(text, "msg=started") {
 		if !firstPair.MatchString(text) {
 			r.unreadable++
 		}
@@ -128,6 +129,8 @@
 		r.lines = append(r.lines, l)
 	case strings.HasPrefix(l.Event, "upstream "):
 		r.upstreams = append(r.upstreams, l)
+	case l.Event == "started":
+		r.starts = append(r.starts, l)
 	}
 }
 
@@ -179,8 +182,11 @@
 	for i := range s.Lines {
 		asked[s.Lines[i].Get("upstream")] = true
 	}
-	told := make(map[string]bool)
+	told, addresses := make(map[string]bool), make(map[string]string)
 	for _, l := range r.upstreams {
+		if asked[l.Get("upstream")] {
+			addresses[l.Get("address")] = l.Get("upstream")
+		}
 		// Each daemon says the same of an upstream.
 		key := fmt.Sprint(l.Event, l.Get("upstream"), l.Get("revision"))
 		if asked[l.Get("upstream")] && !told[key] {
@@ -188,10 +194,28 @@
 			s.Around = append(s.Around, l)
 		}
 	}
+	s.restarts(r.starts, addresses)
 	byTime(s.Around)
 	return s, nil
 }
 
+// restartWithin is how much later a daemon that had ended is taken to start again.
+const restartWithin = 10 * time.Second
+
+// restarts adds the daemons beside the request's upstreams that started after the request's
+// last line: they had ended while it was with them.
+func (s *Story) restarts(starts []Line, upstreamAt map[string]string) {
+	last := s.Lines[len(s.Lines)-1].Time
+	for _, l := range starts {
+		upstream := upstreamAt[l.Get("backend")]
+		if after := l.Time.Sub(last); upstream != "" && after >= 0 && after < restartWithin {
+			l.Event = "daemon started again"
+			l.Fields = append([]Field{{"upstream", upstream}}, l.Fields...)
+			s.Around = append(s.Around, l)
+		}
+	}
+}
+
 func byTime(lines []Line) {
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,6 +57,25 @@
 	})
 }
 
+// Guards against a lost request whose story does not say that a daemon was killed.
+func TestKilledDaemon(t *testing.T) {
+	const log = `level=info time=2026-04-17T08:40:30Z msg=started name=vm-2 backend=10.0.0.2:1
+level=info time=2026-04-17T08:40:30Z msg="upstream listed" upstream=i-2 address=10.0.0.2:1 revision=3
+level=info time=2026-04-17T08:40:37Z msg=attempt id=9a upstream=i-2 result=lost reason=not_idempotent
+level=info time=2026-04-17T08:40:37Z msg=refused id=9a upstream=i-2 result=lost code=attempt_lost status=502 reason=not_idempotent sent=1
+level=info time=2026-04-17T08:40:37.5Z msg=started name=vm-2 backend=10.0.0.2:1
+level=info time=2026-04-17T08:40:37.6Z msg=started name=vm-3 backend=10.0.0.3:1
+`
+	Convey("The start of the daemon after the request is told as the cause", t, func() {
+		r := NewReader("9a")
+		So(r.Read("a.log", strings.NewReader(log)), ShouldBeNil)
+		s, err := r.Story()
+		So(err, ShouldBeNil)
+		So(s.Around, ShouldHaveLength, 2)
+		So(s.Causes(), ShouldContain, "the daemon beside upstream i-2 had ended; it started again at 2026-04-17T08:40:37.5Z")
+	})
+}
+
 // Guards against memory that a log without line ends takes.
 func TestLongLine(t *testing.T) {
 	Convey("An endless line counts as unreadable", t, func() {
