--- a/daemon/control.go
+++ b/daemon/control.go
@@ -84,7 +84,7 @@
 	d.sendControl()
 	if paused {
 		d.log.Warn("the process was paused; beliefs about others are discarded")
-		d.work(d.refresh)
+		d.workers.Go(d.refresh)
 	}
 }
 
@@ -117,10 +117,10 @@
 		d.counters.Event(operator.EventPush)
 	}
 	for _, e := range s.Exchanges {
-		d.work(func() { d.exchangeOnce(e, s.Digest) })
+		d.workers.Go(func() { d.exchangeOnce(e, s.Digest) })
 	}
 	if s.Fetch {
-		d.work(func() { d.fetchConfig(s.FetchFrom, s.NewerThan) })
+		d.workers.Go(func() { d.fetchConfig(s.FetchFrom, s.NewerThan) })
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/membership"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
 	"github.com/hawthornpoint/hawthornpoint/exchange"
+	"github.com/hawthornpoint/hawthornpoint/internal/workgroup"
 	"github.com/hawthornpoint/hawthornpoint/operator"
 	"github.com/hawthornpoint/hawthornpoint/settings"
 )
@@ -76,10 +77,8 @@
 	configured     chan struct{} // closed when a configuration is in force
 	configuredOnce sync.Once
 
-	ctx       context.Context
-	cancel    context.CancelFunc
-	workersMu sync.Mutex // orders the end of ctx against new workers
-	workers   sync.WaitGroup
+	ctx     context.Context
+	workers *workgroup.Group
 }
 
 // New returns a daemon that has not opened its listeners yet.
@@ -97,7 +96,8 @@
 
 		configured: make(chan struct{}),
 	}
-	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.workers = workgroup.New()
+	d.ctx = d.workers.Context()
 	d.peers = d.transport(peerIdleConnections)
 	d.backend = d.transport(backendIdleConnections)
 	d.control = exchange.NewClient(opts.Network.DialContext)
@@ -159,10 +159,10 @@
 	d.mu.Lock()
 	d.node.Ready()
 	d.mu.Unlock()
-	d.work(d.tickLoop)
-	d.work(d.configLoop)
-	d.work(d.listLoop)
-	d.work(d.warmLoop)
+	d.workers.Go(d.tickLoop)
+	d.workers.Go(d.configLoop)
+	d.workers.Go(d.listLoop)
+	d.workers.Go(d.warmLoop)
 	d.log.Info("serving", zap.String("service", d.set.Service), zap.String("zone", d.set.Zone),
 		zap.String("callers", d.Addr("callers")), zap.Stringer("incarnation", d.incarnation()))
 	return nil
@@ -209,20 +209,6 @@
 	return d.node.Self().Incarnation
 }
 
-// work runs f in a goroutine that Close waits for. After Close it does nothing.
-func (d *Daemon) work(f func()) {
-	d.workersMu.Lock()
-	defer d.workersMu.Unlock()
-	if d.ctx.Err() != nil {
-		return
-	}
-	d.workers.Add(1)
-	go func() {
-		defer d.workers.Done()
-		f()
-	}()
-}
-
 // Addr returns the address of the named listener.
 func (d *Daemon) Addr(listener string) string {
 	if a, ok := d.addrs[listener]; ok {
@@ -306,9 +292,7 @@
 
 // Close stops at once and cuts what is in flight. Shutdown calls it at its end.
 func (d *Daemon) Close() {
-	d.workersMu.Lock()
-	d.cancel()
-	d.workersMu.Unlock()
+	d.workers.Cancel()
 	d.closeAll()
 	d.workers.Wait()
 	// A worker may have opened a connection after the idle ones were closed.
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -66,7 +66,7 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	d.servers = append(d.servers, server)
-	d.work(func() {
+	d.workers.Go(func() {
 		if name != "operator" {
 			d.awaitConfig()
 		}
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	d.work(func() {
+	d.workers.Go(func() {
 		if err := d.exchange.Serve(); err != nil {
 			d.log.Error("control exchange failed", zap.Error(err))
 		}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -327,7 +327,7 @@
 	if first {
 		d.log.Warn("backend server is down")
 		d.sendControl()
-		d.work(d.awaitBackend)
+		d.workers.Go(d.awaitBackend)
 	}
 	return true
 }
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -22,10 +22,10 @@
 	// logQueueLines bounds the log lines that wait for standard output: about 2 MB.
 	logQueueLines = 4096
 	// linesPerSecond bounds the log lines in a second: some hundred decisions against
-	// requests, which is more than anyone reads, for about a percent of a core.
+	// requests besides the ordinary lines.
 	linesPerSecond = 1000
 	// settingsInterval is how often the settings file is read for changes that no signal tells
-	// of. Reading it takes some 50 us.
+	// of. The bounds of a configuration's taking effect are about twice as long.
 	settingsInterval = time.Second
 	// memoryShare is the share of the process's memory limit that the Go runtime aims at. The
 	// rest is for the kernel's buffers, which count as well.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -102,40 +102,35 @@
 
 // Add adds n to a counter.
 func (r *Registry) Add(m *Metric, n int, labels ...string) {
-	s := seriesOf(m, labels)
-	r.mu.RLock()
-	c := r.counters[s]
-	r.mu.RUnlock()
-	if c == nil {
-		r.mu.Lock()
-		s = r.bounded(s)
-		if c = r.counters[s]; c == nil {
-			c = r.set.NewCounter(s.name())
-			r.counters[s] = c
-			r.perMetric[m]++
-		}
-		r.mu.Unlock()
-	}
+	c := find(r, r.counters, seriesOf(m, labels), r.set.NewCounter)
 	c.Add(n)
 }
 
 // Observe adds a latency to a histogram.
 func (r *Registry) Observe(m *Metric, d time.Duration, labels ...string) {
-	s := seriesOf(m, labels)
+	h := find(r, r.histograms, seriesOf(m, labels), func(name string) *metrics.PrometheusHistogram {
+		return r.set.NewPrometheusHistogramExt(name, latencyBounds)
+	})
+	h.Update(d.Seconds())
+}
+
+// find returns the values of a series, which it creates when there are none.
+func find[T any](r *Registry, values map[series]*T, s series, create func(name string) *T) *T {
 	r.mu.RLock()
-	h := r.histograms[s]
+	v := values[s]
 	r.mu.RUnlock()
-	if h == nil {
-		r.mu.Lock()
-		s = r.bounded(s)
-		if h = r.histograms[s]; h == nil {
-			h = r.set.NewPrometheusHistogramExt(s.name(), latencyBounds)
-			r.histograms[s] = h
-			r.perMetric[m]++
-		}
-		r.mu.Unlock()
+	if v != nil {
+		return v
 	}
-	h.Update(d.Seconds())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s = r.bounded(s)
+	if v = values[s]; v == nil {
+		v = create(s.name())
+		values[s] = v
+		r.perMetric[s.metric]++
+	}
+	return v
 }
 
 // Gauge declares a gauge, whose value f returns. f must be safe for concurrent use.
--- /dev/null
+++ b/internal/workgroup/workgroup_test.go
@@ -0,0 +1,37 @@
+package workgroup
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a goroutine that starts while the group ends, and that nobody waits for.
+func TestNothingStartsAfterCancel(t *testing.T) {
+	Convey("Goroutines that start while the group ends have all ended after Wait", t, func() {
+		for range 50 {
+			g := New()
+			var running, started atomic.Int32
+			var callers sync.WaitGroup
+			for range 8 {
+				callers.Go(func() {
+					g.Go(func() {
+						started.Add(1)
+						running.Add(1)
+						<-g.Context().Done()
+						running.Add(-1)
+					})
+				})
+			}
+			g.Cancel()
+			g.Wait()
+			So(running.Load(), ShouldEqual, 0)
+			before := started.Load()
+			callers.Wait()
+			g.Go(func() { started.Add(1) })
+			So(started.Load(), ShouldEqual, before)
+		}
+	})
+}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/watchers"
 	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/internal/telemetry"
+	"github.com/hawthornpoint/hawthornpoint/internal/workgroup"
 )
 
 const (
@@ -123,9 +124,7 @@
 	synced chan struct{} // wakes the peer synchronization
 
 	ctx       context.Context
-	cancel    context.CancelFunc
-	workersMu sync.Mutex // orders the end of ctx against new workers
-	workers   sync.WaitGroup
+	workers   *workgroup.Group
 	callers   pipeline.Server
 	servers   []*http.Server
 	listeners []net.Listener
@@ -159,7 +158,8 @@
 		waiting: make(map[uint64]*held), peers: make(map[string]*peer), synced: make(chan struct{}, 1),
 	}
 	d.grace, d.seeds = set.Grace, set.Seeds
-	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.workers = workgroup.New()
+	d.ctx = d.workers.Context()
 	d.backend = &backend{address: set.BackendAddress, dial: opts.Dial,
 		count: func(event string) { d.metrics.Count(metricBackend, event) }}
 	d.declareGauges()
@@ -181,10 +181,10 @@
 		d.Close()
 		return err
 	}
-	d.work(d.tickLoop)
-	d.work(d.storeLoop)
-	d.work(d.peerLoop)
-	d.work(d.summaryLoop)
+	d.workers.Go(d.tickLoop)
+	d.workers.Go(d.storeLoop)
+	d.workers.Go(d.peerLoop)
+	d.workers.Go(d.summaryLoop)
 	d.log.Info(eventStarted, zap.String("name", d.set.Name), zap.String("zone", d.set.Zone),
 		zap.String("service", d.set.Service), zap.String("backend", d.set.BackendAddress))
 	return nil
@@ -199,7 +199,7 @@
 		if err != nil {
 			return err
 		}
-		d.work(func() { d.servePeers(l) })
+		d.workers.Go(func() { d.servePeers(l) })
 	}
 	if err := d.serveCallers(); err != nil {
 		return err
@@ -233,7 +233,7 @@
 		d.metrics.Count(metricBroken)
 		d.log.Info(eventUnreadable, zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
 	}
-	d.work(func() {
+	d.workers.Go(func() {
 		if err := d.callers.Serve(l); err != nil {
 			d.log.Error(eventListener, zap.String("address", d.set.CallerAddress), errorField(err))
 		}
@@ -264,7 +264,7 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	d.servers = append(d.servers, server)
-	d.work(func() {
+	d.workers.Go(func() {
 		if err := server.Serve(l); d.ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error(eventListener, zap.String("address", address), errorField(err))
 		}
@@ -339,20 +339,6 @@
 	d.backend.closeIdle(now, false)
 }
 
-// work runs f in a goroutine that Close waits for. After Close it does nothing.
-func (d *Daemon) work(f func()) {
-	d.workersMu.Lock()
-	defer d.workersMu.Unlock()
-	if d.ctx.Err() != nil {
-		return
-	}
-	d.workers.Add(1)
-	go func() {
-		defer d.workers.Done()
-		f()
-	}()
-}
-
 // Shutdown stops gracefully: it takes no new work from other daemons, finishes what is in
 // flight, asks callers to close their connections, and ends when it is idle or the grace
 // time is nearly over.
@@ -386,9 +372,7 @@
 
 // Close stops at once and cuts what is in flight.
 func (d *Daemon) Close() {
-	d.workersMu.Lock()
-	d.cancel()
-	d.workersMu.Unlock()
+	d.workers.Cancel()
 	for _, l := range d.listeners {
 		_ = l.Close()
 	}
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -136,7 +136,7 @@
 	link := &peerLink{since: d.started}
 	link.hear()
 	link.client = rpc.NewClient(&hearingConn{Conn: c, heard: link.hear, ended: func() { link.broken.Store(true) }})
-	d.work(func() { p.watch(link) })
+	d.workers.Go(func() { p.watch(link) })
 	return link, nil
 }
 
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -32,7 +32,7 @@
 			}
 			return
 		}
-		d.work(func() { d.servePeer(c) })
+		d.workers.Go(func() { d.servePeer(c) })
 	}
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -190,7 +190,7 @@
 	args := &PingArgs{AsOf: d.replica.AsOf(), From: d.set.BackendAddress}
 	d.mu.Unlock()
 	for _, address := range known[:min(notifiedPeers, len(known))] {
-		d.work(func() {
+		d.workers.Go(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 			defer cancel()
 			if _, err := callPeer[PingReply](ctx, d.peer(address), "Ping", args); err != nil {
