Tests: signals that end a daemon with requests in flight

Processes of both daemons get SIGHUP in the middle of a stop, while they start and, for the daemon that reads its settings once, while they serve. On this code each of the three tests fails: the process is gone ("process already finished", "connection refused"), and with it the requests in flight.

--- /dev/null
+++ b/harness/e2e/signals_test.go
@@ -0,0 +1,191 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/hawthornpoint/hawthornpoint/platform/platformtest"
+)
+
+// sidecar is a `hawthornpoint sidecar` process with a store and the upstream beside it.
+type sidecar struct {
+	t                    *testing.T
+	store                *platformtest.Store
+	upstream             *platformtest.Upstream
+	process              *process
+	settings             []byte
+	settingsFile         string
+	callers, ready, peer string
+}
+
+// newSidecar starts the store and the upstream, but not the process.
+func newSidecar(t *testing.T) *sidecar {
+	t.Helper()
+	upstream, err := platformtest.NewUpstream("i-0", freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &sidecar{
+		t: t, store: platformtest.NewStore(), upstream: upstream, settingsFile: filepath.Join(t.TempDir(), "local.json"),
+		callers: freeAddress(t), ready: freeAddress(t), peer: freeAddress(t),
+	}
+	t.Cleanup(func() {
+		s.store.Close()
+		s.upstream.Close()
+	})
+	s.store.Put("servers/i-0", map[string]any{
+		"address": upstream.Address(), "born": 1000,
+		"info":   map[string]any{"service": "s", "version": "v1", "zone": "z", "slots": 10},
+		"status": map[string]any{"state": "ready", "sequence": 1, "warmupLeftS": 0},
+	})
+	s.store.Put("op/config", map[string]any{
+		"version": "00000001",
+		"routes": map[string]any{
+			"columns": []string{"name", "host", "prefix", "routeType", "timeoutS", "targetLatencyS", "priority", "maxAttempts", "service"},
+			"rows":    [][]any{{"once", "h.example", "/once/", "unsafe", 5.0, 1.0, 0, 2, "s"}},
+		},
+		"services": map[string]any{"columns": []string{"name", "healthPath", "maxConnections"}, "rows": [][]any{{"s", "/healthz", 100}}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+	})
+	s.settings = fmt.Appendf(nil, `{"self": {"node": "vm", "ip": "127.0.0.1", "zone": "z", "service": "s", "appAddress": %q},
+ "network": {"listen": {"inbound": %q, "outbound": %q, "ready": %q}, "seeds": []},
+ "platform": {"platform": {"address": %q}},
+ "terms": {"bounds": {"graceS": 4, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 47}}}`,
+		upstream.Address(), s.peer, s.callers, s.ready, s.store.Address())
+	if err := os.WriteFile(s.settingsFile, s.settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func (s *sidecar) start() {
+	s.t.Helper()
+	s.process = startProcess(s.t, "sidecar", "--settings", s.settingsFile)
+}
+
+func (s *sidecar) awaitReady() {
+	s.t.Helper()
+	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if resp, err := http.Get("http://" + s.ready + "/api/ready"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+	}
+	s.t.Fatal("the daemon is not ready")
+}
+
+// signalAtIntervals sends the signals one after the other.
+func (s *sidecar) signalAtIntervals(interval time.Duration, signals ...syscall.Signal) {
+	for _, signal := range signals {
+		s.process.signal(s.t, signal)
+		time.Sleep(interval)
+	}
+}
+
+// send sends a request that may run once and returns the status of its answer, 0 for none.
+func (s *sidecar) send(id string) int {
+	c, err := net.Dial("tcp", s.callers)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Hawthornpoint-Request-Id: %s\r\n"+
+		"X-Hawthornpoint-Deadline-Ms: 5000\r\nContent-Length: 1\r\n\r\nb", id)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// Guards against requests that are lost because a signal ends the process in the middle of a
+// graceful stop.
+func TestSignalsDuringStop(t *testing.T) {
+	Convey("Requests in flight are answered when SIGHUP and further SIGTERMs arrive during a stop", t, func() {
+		s := newSidecar(t)
+		s.start()
+		s.awaitReady()
+		s.upstream.SetAnswer(time.Second, nil)
+		statuses := make(chan int, 4)
+		for i := range cap(statuses) {
+			go func() { statuses <- s.send(fmt.Sprint("r-", i)) }()
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.signalAtIntervals(50*time.Millisecond, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGHUP)
+		for range cap(statuses) {
+			So(<-statuses, ShouldEqual, http.StatusOK)
+		}
+		So(s.process.wait(t, 10*time.Second), ShouldBeNil)
+		So(s.process.logs.String(), ShouldContainSubstring, "msg=stopped")
+	})
+}
+
+// Guards against a process that a signal ends while it starts.
+func TestSignalsDuringStart(t *testing.T) {
+	// awaitStarting starts the process and returns when it waits for its settings, which are a
+	// named pipe; release supplies them.
+	awaitStarting := func(s *sidecar) (release func()) {
+		So(os.Remove(s.settingsFile), ShouldBeNil)
+		So(syscall.Mkfifo(s.settingsFile, 0o600), ShouldBeNil)
+		s.start()
+		pipe, err := os.OpenFile(s.settingsFile, os.O_WRONLY, 0)
+		So(err, ShouldBeNil)
+		return func() {
+			So(os.WriteFile(s.settingsFile+".new", s.settings, 0o600), ShouldBeNil)
+			So(os.Rename(s.settingsFile+".new", s.settingsFile), ShouldBeNil)
+			_, err := pipe.Write(s.settings)
+			So(err, ShouldBeNil)
+			So(pipe.Close(), ShouldBeNil)
+		}
+	}
+	Convey("A daemon that gets SIGHUP while it reads its settings starts and serves", t, func() {
+		s := newSidecar(t)
+		release := awaitStarting(s)
+		s.signalAtIntervals(20*time.Millisecond, syscall.SIGHUP, syscall.SIGHUP)
+		release()
+		s.awaitReady()
+		So(s.send("after-start"), ShouldEqual, http.StatusOK)
+	})
+	Convey("A daemon that gets SIGTERM while it reads its settings stops with exit code 0", t, func() {
+		s := newSidecar(t)
+		release := awaitStarting(s)
+		s.signalAtIntervals(20*time.Millisecond, syscall.SIGTERM, syscall.SIGHUP)
+		release()
+		So(s.process.wait(t, 10*time.Second), ShouldBeNil)
+	})
+}
+
+// Guards against calls that are lost because SIGHUP ends a daemon that does not reload its
+// settings, or a second signal arrives before it is handled.
+func TestSignalsAtDaemonWithoutReload(t *testing.T) {
+	f := newFleet(t)
+	Convey("The daemon with the product's own interface serves on after SIGHUP, also during a stop", t, func() {
+		entry := f.upstream("catalogue", 0)
+		daemon := f.vms[entry].daemon
+		daemon.signal(t, syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond)
+		a, err := f.send(t.Context(), entry, "stock", "check", "", nil)
+		So(err, ShouldBeNil)
+		So(a.status, ShouldEqual, http.StatusOK)
+		daemon.signal(t, syscall.SIGTERM)
+		time.Sleep(50 * time.Millisecond)
+		daemon.signal(t, syscall.SIGHUP)
+		So(daemon.wait(t, 10*time.Second), ShouldBeNil)
+	})
+}
