Receive signals until the process ends

Cause: sidecar received SIGHUP only while it reloaded settings. signal.Stop at the start of a stop gave SIGHUP back its default action, which ends the process. The platform sends SIGHUP when settings change, for instance the seeds during a rolling restart, also to a daemon that is stopping; every request in flight then lost its connection without an answer. The same held while a process was starting, for SIGTERM as well, and for the daemon with the product's own interface, which did not receive SIGHUP at all and had a moment between two registrations in which a second SIGTERM ended it.

Change: both commands receive SIGTERM, SIGINT and SIGHUP from their first statement until the process ends, and log each signal with what it leads to. During a stop SIGHUP has no effect: the grace time is that of the SIGTERM.

Conclusion: one cause of LOST around planned work.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -19,9 +17,10 @@
 	Settings string `required:"" type:"path" help:"Settings file of this daemon (JSON with comments)."`
 }
 
-// Run serves until SIGTERM or SIGINT, then shuts down gracefully. A second signal
-// stops the daemon immediately.
+// Run serves until SIGTERM or SIGINT, then shuts down gracefully. A second one stops the daemon
+// immediately. SIGHUP has no effect: the settings are read only at the start.
 func (c daemonCommand) Run(o *output) error {
+	signals := receiveSignals()
 	daemonSettings, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -37,13 +36,10 @@
 		return err
 	}
 	operator.LimitMemory()
-	ctx, stopNotify := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stopNotify()
-	<-ctx.Done()
-	stopNotify()
-	forceCtx, stopForceNotify := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stopForceNotify()
-	return d.Shutdown(forceCtx)
+	signals.awaitStop(log)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	return signals.duringStop(log, cancel, func() error { return d.Shutdown(ctx) })
 }
 
 // newLogger returns a logger that writes one key=value line per event.
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -1,12 +1,8 @@
 package cli
 
 import (
-	"context"
-	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,6 +38,7 @@
 
 // Run serves until SIGTERM or SIGINT, then stops gracefully.
 func (c sidecarCommand) Run(o *output) error {
+	signals := receiveSignals()
 	level, err := zapcore.ParseLevel(c.LogLevel)
 	if err != nil {
 		return err
@@ -66,29 +63,28 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	ctx, stopNotify := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stopNotify()
-	c.reload(ctx, log, d, loaded.Mesh)
-	d.Shutdown()
-	return nil
+	c.reload(signals, log, d, loaded.Mesh)
+	return signals.duringStop(log, nil, func() error {
+		d.Shutdown()
+		return nil
+	})
 }
 
-// reload applies changes of the settings file until ctx is done. The file is read on SIGHUP
-// and once in each settingsInterval. If it is invalid, the settings in force stay. The error is
-// logged after SIGHUP, and otherwise if it differs from the last one.
-func (c sidecarCommand) reload(ctx context.Context, log *zap.Logger, d *mesh.Daemon, inForce mesh.Settings) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// reload applies changes of the settings file until a stop is requested. The file is read on
+// SIGHUP and once in each settingsInterval. If it is invalid, the settings in force stay. The
+// error is logged after SIGHUP, and otherwise if it differs from the last one.
+func (c sidecarCommand) reload(signals processSignals, log *zap.Logger, d *mesh.Daemon, inForce mesh.Settings) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	lastError := ""
 	for {
 		signaled := false
 		select {
-		case <-ctx.Done():
+		case received := <-signals.stop:
+			logSignal(log, received, "stop")
 			return
-		case <-hup:
+		case received := <-signals.reload:
+			logSignal(log, received, "reload")
 			signaled = true
 		case <-ticker.C:
 		}
--- a/internal/cli/sidecar_test.go
+++ b/internal/cli/sidecar_test.go
@@ -1,10 +1,10 @@
 package cli
 
 import (
-	"context"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,13 +33,13 @@
 		core, logs := observer.New(zap.InfoLevel)
 		log := zap.New(core)
 		d := mesh.New(mesh.Options{Settings: loaded.Mesh, HeaderConvention: platform.HeaderConvention{}, Decoder: platform.Decoder{}, Logger: log})
-		ctx, cancel := context.WithCancel(t.Context())
+		signals := processSignals{stop: make(chan os.Signal), reload: make(chan os.Signal)}
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			sidecarCommand{Settings: file}.reload(ctx, log, d, loaded.Mesh)
+			sidecarCommand{Settings: file}.reload(signals, log, d, loaded.Mesh)
 		}()
-		defer func() { cancel(); <-done }()
+		defer func() { signals.stop <- syscall.SIGTERM; <-done }()
 		await := func(event string, n int) {
 			for end := time.Now().Add(5 * time.Second); logs.FilterMessage(event).Len() < n && time.Now().Before(end); {
 				time.Sleep(10 * time.Millisecond)
