Keep serving when nothing reads the log

Cause: a write to standard output or error whose reader has ended raises SIGPIPE, and the Go runtime then ends the process, with all requests in flight. It is the same class of fault as SIGHUP during a stop: a signal whose default action ends a daemon that holds requests.

Ruled out: writes to sockets, for which the runtime ignores the signal; SIGUSR1, SIGUSR2 and SIGALRM, which the runtime does not act on. SIGQUIT and SIGABRT keep their default, a stack trace and the end: they are sent on purpose.

Change: SIGPIPE is ignored in both daemons. The log queue counts lines that the writer refuses as 'log write failed'; their errors were dropped silently.

Conclusion: the end of a collector of logs no longer ends the daemon.

--- a/harness/e2e/fleet_test.go
+++ b/harness/e2e/fleet_test.go
@@ -60,8 +60,17 @@
 
 func startProcess(t *testing.T, args ...string) *process {
 	t.Helper()
-	p := &process{cmd: exec.Command(binary, args...), logs: new(bytes.Buffer), done: make(chan error, 1)}
-	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
+	logs := new(bytes.Buffer)
+	p := startProcessWith(t, logs, args...)
+	p.logs = logs
+	return p
+}
+
+// startProcessWith starts a process that writes its output to w.
+func startProcessWith(t *testing.T, w io.Writer, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(binary, args...), done: make(chan error, 1)}
+	p.cmd.Stdout, p.cmd.Stderr = w, w
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/harness/e2e/signals_test.go
+++ b/harness/e2e/signals_test.go
@@ -73,6 +73,18 @@
 	s.process = startProcess(s.t, "sidecar", "--settings", s.settingsFile)
 }
 
+// startWithoutLogReader starts the process with an output that nobody reads.
+func (s *sidecar) startWithoutLogReader() {
+	s.t.Helper()
+	read, write, err := os.Pipe()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_ = read.Close()
+	defer write.Close()
+	s.process = startProcessWith(s.t, write, "sidecar", "--settings", s.settingsFile)
+}
+
 func (s *sidecar) awaitReady() {
 	s.t.Helper()
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
@@ -171,6 +183,20 @@
 	})
 }
 
+// Guards against a daemon that ends with all requests in flight because nothing reads its log
+// any more.
+func TestLogReaderEnds(t *testing.T) {
+	Convey("A daemon whose standard output and error have no reader answers, reloads and stops", t, func() {
+		s := newSidecar(t)
+		s.startWithoutLogReader()
+		s.awaitReady()
+		s.signalAtIntervals(20*time.Millisecond, syscall.SIGHUP, syscall.SIGHUP)
+		So(s.send("after-log-reader"), ShouldEqual, http.StatusOK)
+		s.signalAtIntervals(0, syscall.SIGTERM)
+		So(s.process.wait(t, 10*time.Second), ShouldBeNil)
+	})
+}
+
 // Guards against calls that are lost because SIGHUP ends a daemon that does not reload its
 // settings, or a second signal arrives before it is handled.
 func TestSignalsAtDaemonWithoutReload(t *testing.T) {
--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -20,11 +20,13 @@
 	stop, reload chan os.Signal
 }
 
-// receiveSignals must be called before anything else that a daemon's process does.
+// receiveSignals must be called before anything else that a daemon's process does. SIGPIPE is
+// ignored: otherwise the first line of the log after its reader has ended would end the process.
 func receiveSignals() processSignals {
 	s := processSignals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -31,6 +31,8 @@
 	// lowPriorityShare is the share of the queue and of the rate limit that low-priority lines
 	// may use.
 	lowPriorityShare = 0.5
+	// eventWriteFailed is the event under which lines are counted that the writer refused.
+	eventWriteFailed = "log write failed"
 )
 
 // Options configures a Queue.
@@ -79,8 +81,9 @@
 				q.report(w)
 				return
 			}
-			// An error is ignored: there is nowhere to report an error of the log itself.
-			_, _ = w.Write(line)
+			if _, err := w.Write(line); err != nil {
+				q.drop(eventWriteFailed)
+			}
 		case <-report.C:
 			q.report(w)
 		}
--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -67,6 +67,36 @@
 	})
 }
 
+// failingWriter refuses the first writes.
+type failingWriter struct {
+	failures int
+	buf      bytes.Buffer
+}
+
+func (w *failingWriter) Write(p []byte) (int, error) {
+	if w.failures--; w.failures >= 0 {
+		return 0, io.ErrClosedPipe
+	}
+	return w.buf.Write(p)
+}
+
+// Guards against lines that are lost without a count because nothing reads the log.
+func TestWriterFails(t *testing.T) {
+	Convey("Lines that the writer refuses are counted, and later ones are written", t, func() {
+		w, dropped := &failingWriter{failures: 2}, make(chan string, 4)
+		q := New(w, Options{QueueLines: 10, LinesPerSecond: 100, OnDrop: func(event string) { dropped <- event }})
+		for range 3 {
+			logger(q).Info("attempt")
+		}
+		q.Close()
+		So(<-dropped, ShouldEqual, eventWriteFailed)
+		So(<-dropped, ShouldEqual, eventWriteFailed)
+		So(dropped, ShouldBeEmpty)
+		So(strings.Count(w.buf.String(), "msg=attempt"), ShouldEqual, 1)
+		So(w.buf.String(), ShouldContainSubstring, "events=log_write_failed:2")
+	})
+}
+
 // Guards against a log that grows with the load, and against high-priority lines that are
 // dropped in favour of low-priority ones. The load is ten times the rate limit.
 func TestLoadTenTimesTheRateLimit(t *testing.T) {
