explain: report daemons that ended without a stop

Cause: a request whose daemon is killed leaves no line about its end, and nothing named the daemon that was gone. The line 'started' without a line 'stopped' before it in the same log shows it.

Change: explain collects these ends.

Conclusion: ends that leave no line of their own are found from the logs; which request was lost in one still follows only from its absence.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/go-faster/errors"
@@ -13,7 +14,9 @@
 	Files []string `arg:"" name:"file" type:"existingfile" help:"Log files of one or more processes."`
 }
 
-// Run prints the report on a request. It is an error if no log line names the ID.
+// Run prints the report on a request. It is an error if no log line names the ID. The error is
+// preceded by the daemons that ended without a stop, because one of them may have accepted the
+// request.
 func (c explainCommand) Run(o *output) error {
 	if c.ID == "" {
 		return errors.New("the request ID is empty")
@@ -26,6 +29,9 @@
 	}
 	report, err := reader.Report()
 	if err != nil {
+		for i := range report.AbruptEnds {
+			fmt.Fprintln(o.err, explain.DescribeAbruptEnd(&report.AbruptEnds[i]))
+		}
 		return errors.Wrapf(err, "%d lines could not be read", report.Unreadable)
 	}
 	return report.Write(o.out)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -58,6 +58,10 @@
 	Lines []Line
 	// UpstreamLines are lines about the upstreams that the request was sent to, by time.
 	UpstreamLines []Line
+	// AbruptEnds holds, for each process that ended without a line "stopped", the line "started"
+	// of its successor, in the order of the logs. The requests that such a process had accepted
+	// have no line about their end.
+	AbruptEnds []Line
 	// Unreadable is the number of lines that could not be parsed.
 	Unreadable int
 }
@@ -66,13 +70,15 @@
 type Reader struct {
 	id            string
 	lines         []Line
-	upstreamLines []Line // about upstreams, whether the request was sent to them or not
-	startLines    []Line // about starts of daemons
+	upstreamLines []Line          // about upstreams, whether the request was sent to them or not
+	startLines    []Line          // about starts of daemons
+	abruptEnds    []Line          // starts of daemons whose predecessor has no line "stopped"
+	running       map[string]bool // whether the last process of a source has no line "stopped"
 	unreadable    int
 }
 
 // NewReader returns a Reader for the request with the ID.
-func NewReader(id string) *Reader { return &Reader{id: id} }
+func NewReader(id string) *Reader { return &Reader{id: id, running: make(map[string]bool)} }
 
 // firstPair matches the beginning of the first pair of a line.
 var firstPair = regexp.MustCompile(`(^|\s)[a-z_]+=`)
@@ -115,7 +121,7 @@
 func (r *Reader) addLine(name, text string) {
 	// Most lines are about other requests. They are not decoded.
 	namesRequest := strings.Contains(text, r.id)
-	if !namesRequest && !strings.Contains(text, "upstream") && !strings.Contains(text, "msg=started") {
+	if !namesRequest && !strings.Contains(text, "upstream") && !strings.Contains(text, "msg=started") && !strings.Contains(text, "msg=stopped") {
 		if !firstPair.MatchString(text) {
 			r.unreadable++
 		}
@@ -131,6 +137,12 @@
 		r.upstreamLines = append(r.upstreamLines, l)
 	case l.Event == "started":
 		r.startLines = append(r.startLines, l)
+		if r.running[l.Source] {
+			r.abruptEnds = append(r.abruptEnds, l)
+		}
+		r.running[l.Source] = true
+	case l.Event == "stopped":
+		r.running[l.Source] = false
 	}
 }
 
@@ -172,9 +184,9 @@
 }
 
 // Report returns the report on the request. The error is ErrRequestNotFound if no line of the
-// request was read; the report then holds just the ID and the number of unreadable lines.
+// request was read; the report then holds only the ID, AbruptEnds and Unreadable.
 func (r *Reader) Report() (*Report, error) {
-	report := &Report{ID: r.id, Lines: r.lines, Unreadable: r.unreadable}
+	report := &Report{ID: r.id, Lines: r.lines, AbruptEnds: r.abruptEnds, Unreadable: r.unreadable}
 	if len(report.Lines) == 0 {
 		return report, errors.Wrap(ErrRequestNotFound, r.id)
 	}
@@ -239,6 +251,12 @@
 	for _, cause := range r.Causes() {
 		fmt.Fprintf(&b, "%s: %s\n", label, cause)
 	}
+	last := r.Lines[len(r.Lines)-1].Time
+	for i := range r.AbruptEnds {
+		if after := r.AbruptEnds[i].Time.Sub(start); after >= 0 && r.AbruptEnds[i].Time.Sub(last) < maxRestartDelay {
+			fmt.Fprintf(&b, "during the request: %s\n", DescribeAbruptEnd(&r.AbruptEnds[i]))
+		}
+	}
 	if r.Unreadable > 0 {
 		fmt.Fprintf(&b, "%d lines could not be read\n", r.Unreadable)
 	}
@@ -246,6 +264,11 @@
 	return err
 }
 
+// DescribeAbruptEnd returns a sentence about an element of Report.AbruptEnds.
+func DescribeAbruptEnd(started *Line) string {
+	return fmt.Sprintf("the daemon %s ended without a stop; it started again at %s", started.Get("name"), started.Time.UTC().Format(time.RFC3339Nano))
+}
+
 func writeLines(b *strings.Builder, lines []Line, start time.Time, id string) {
 	for _, l := range lines {
 		fmt.Fprintf(b, "  %+9.3f s  %s  %s", l.Time.Sub(start).Seconds(), l.Source, l.Event)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -76,6 +76,34 @@
 	})
 }
 
+// Guards against a request without a trace: the process that accepted it ended without a line
+// about it.
+func TestAbruptEnds(t *testing.T) {
+	const log = `vm-1 level=info time=2026-04-17T08:40:30Z msg=started name=vm-1 backend=10.0.0.1:1
+vm-2 level=info time=2026-04-17T08:40:30Z msg=started name=vm-2 backend=10.0.0.2:1
+vm-2 level=info time=2026-04-17T08:40:36Z msg="slot refused" id=9a waited=0.3 reason=no_room
+vm-1 level=info time=2026-04-17T08:40:37Z msg=started name=vm-1 backend=10.0.0.1:1
+vm-2 level=info time=2026-04-17T08:40:38Z msg=stopped idle=true
+vm-2 level=info time=2026-04-17T08:40:39Z msg=started name=vm-2 backend=10.0.0.2:1
+`
+	report := func(id string) (*Report, error) {
+		r := NewReader(id)
+		So(r.Read("a.log", strings.NewReader(log)), ShouldBeNil)
+		return r.Report()
+	}
+	Convey("A process without a line about its end is reported, one that stopped is not", t, func() {
+		found, err := report("9a")
+		So(err, ShouldBeNil)
+		var out strings.Builder
+		So(found.Write(&out), ShouldBeNil)
+		So(out.String(), ShouldContainSubstring, "during the request: the daemon vm-1 ended without a stop; it started again at 2026-04-17T08:40:37Z")
+		So(out.String(), ShouldNotContainSubstring, "vm-2 ended")
+		unknown, err := report("9b")
+		So(errors.Is(err, ErrRequestNotFound), ShouldBeTrue)
+		So(unknown.AbruptEnds, ShouldHaveLength, 1)
+	})
+}
+
 // Guards against unbounded memory use for a log without line ends.
 func TestLongLine(t *testing.T) {
 	Convey("An overlong line without pairs counts as unreadable", t, func() {
