pipeline: answer all pipelined requests of a connection at a stop

Cause: from the stop on, every response closed its connection. The first response cancelled the requests behind it on the connection, although they had been read and an upstream was at work on them. Ruled out: the order of the responses and requests with an unsafe method, which are handled only after all earlier ones; their tests are unchanged. Change: a response closes its connection at a stop only if no later request of the connection has been read. A caller that pipelines without a pause keeps its connection until the daemon ends; its later requests are refused.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -254,6 +254,21 @@
 	return !ex.conn.closing && ex.conn.ctx.Err() == nil
 }
 
+// isLast reports whether the server is stopping and no later request of the connection has
+// been read. No further request is handled after that.
+func (ex *exchange) isLast() bool {
+	if !ex.conn.server.isStopping() {
+		return false
+	}
+	ex.conn.mu.Lock()
+	defer ex.conn.mu.Unlock()
+	if ex.conn.latest != ex {
+		return false
+	}
+	ex.conn.closing = true
+	return true
+}
+
 // handle reads up to BodyBufferSize bytes of the body and starts the handler. It reports
 // false when no further request may be read.
 func (c *conn) handle(r *http.Request) bool {
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -47,7 +47,7 @@
 		return
 	}
 	c, r := w.exchange.conn, w.exchange.request
-	w.close = r.Close || c.server.isStopping() || w.header.Get("Connection") == "close"
+	w.close = r.Close || w.header.Get("Connection") == "close" || w.exchange.isLast()
 	w.setFraming(status, r)
 	if w.close {
 		w.header.Set("Connection", "close")
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -90,8 +90,8 @@
 	delete(s.conns, c)
 }
 
-// Stop makes every further response close its connection. Idle connections stay open, so
-// that a request that has already been sent is still answered.
+// Stop makes each connection close after its next response that no request is waiting behind.
+// Idle connections stay open, so that a request that has already been sent is still answered.
 func (s *Server) Stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
