mesh: wait at a stop until answers are written to callers

Cause: the daemon counted a request as ended when its handler returned. The response is flushed after that, and refusals before routing were not counted at all. A stop could find the daemon idle in between and close the connection. Ruled out by reading only: the body of a long answer and an answer behind an earlier pipelined one are written inside the handler, which was counted. Change: the pipeline server reports whether a request is being read, handled or answered, and the daemon uses that instead of a counter of its own. A caller that sends part of a request keeps a stop waiting, for shutdownShare of the grace time at most.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -156,6 +156,13 @@
 	return c.inFlight > 0
 }
 
+// isIdle reports whether no request is being read, and all responses have been written.
+func (c *conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight == 0 && !c.readingHeader
+}
+
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -34,7 +34,7 @@
 }
 
 // Server serves HTTP/1.1 connections. All fields must be set before Serve is called.
-// Stop, CloseIdle and Close may be called while Serve is running.
+// Stop, Idle, CloseIdle and Close may be called while Serve is running.
 type Server struct {
 	// Handler handles the requests, those of one connection concurrently. It may panic with
 	// http.ErrAbortHandler to close the connection without a response.
@@ -104,6 +104,16 @@
 	return s.stopping
 }
 
+// Idle reports whether no request is being read, handled or answered.
+func (s *Server) Idle() bool {
+	for _, c := range s.openConns() {
+		if !c.isIdle() {
+			return false
+		}
+	}
+	return true
+}
+
 // CloseIdle closes the connections on which no request is being read or handled.
 func (s *Server) CloseIdle() {
 	for _, c := range s.openConns() {
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -110,9 +110,7 @@
 	d.mu.Lock()
 	c.outgoing = d.dispatcher.Open(now, c.route, service, left, d.retryShare())
 	step := d.dispatcher.Next(now, c.outgoing)
-	d.inFlight++
 	d.mu.Unlock()
-	defer d.requestEnded()
 	for {
 		if step.Code != 0 {
 			d.countEnd(c.route, service, step.Code)
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -100,7 +100,6 @@
 	limiter          *slots.Limiter
 	waiting          map[uint64]*localAttempt // queued attempts by their ID in the limiter
 	lastID           uint64
-	inFlight         int
 	retryRuns        int // number of local runs that are retries
 	callGraph        *callgraph.Observer
 	callMeter        *loadshed.Meter // blocked shares of the calls of the local backend server
@@ -308,12 +307,6 @@
 // nextAnswer numbers the successful answers that came from the first upstream asked.
 func (d *Daemon) nextAnswer() uint64 { return d.answers.Add(1) }
 
-func (d *Daemon) requestEnded() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.inFlight--
-}
-
 func (d *Daemon) tickLoop() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -344,8 +337,7 @@
 
 // Shutdown stops the daemon gracefully. It refuses new requests of other daemons, accepts those
 // of callers for acceptShare of the grace time, and closes each caller's connection after its
-// next answer. It closes the daemon when no request is in flight, or after shutdownShare of the
-// grace time.
+// next answer. It closes the daemon when it is idle, or after shutdownShare of the grace time.
 func (d *Daemon) Shutdown() {
 	started := time.Now()
 	d.mu.Lock()
@@ -368,10 +360,14 @@
 	d.Close()
 }
 
+// idle reports whether no exchange with a caller is unfinished and no slot is in use.
 func (d *Daemon) idle() bool {
+	if !d.callers.Idle() {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.inFlight == 0 && d.limiter.Load().Running == 0
+	return d.limiter.Load().Running == 0
 }
 
 // Close stops the daemon at once, aborts the requests in flight, and waits for its goroutines.
