pipeline: let the reading goroutine close an idle connection

Cause: a connection counted as idle after the bytes of a request had been read and before the header was parsed, and again between the parsed header and the start of its exchange. CloseIdle dropped a request that had been read completely. Ruled out: nothing. Change: CloseIdle ends the wait for the first byte of a request. The goroutine that waits closes the connection, or handles the request if it has been read. Figures: TestRequestReadWhileIdleConnectionsAreClosed, CloseIdle while a request is being read: no answer before, 200 after. Conclusion: fixed in CloseIdle. Close, which follows it at a stop, still cuts requests that are being handled.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -27,11 +27,12 @@
 	writer        *bufio.Writer
 	exchangeEnded chan struct{} // receives a value when an exchange has ended
 
-	mu            sync.Mutex
-	latest        *exchange // of the latest request
-	inFlight      int
-	readingHeader bool // the header of a request is being read
-	closing       bool // no further response may be written
+	mu       sync.Mutex
+	latest   *exchange // of the latest request
+	inFlight int
+	awaiting bool // the first byte of the next request is awaited
+	retiring bool // the connection is closed when it is idle
+	closing  bool // no further response may be written
 }
 
 // exchange is a request and its response.
@@ -113,8 +114,6 @@
 	if err := c.awaitFirstByte(limits.IdleTimeout); err != nil {
 		return nil, err
 	}
-	c.setReadingHeader(true)
-	defer c.setReadingHeader(false)
 	deadline := time.Time{}
 	if limits.HeaderTimeout > 0 {
 		deadline = time.Now().Add(limits.HeaderTimeout)
@@ -134,20 +133,57 @@
 // awaitFirstByte returns nil when the first byte of the next request has been received. Time
 // in which a request is being handled does not count as idle.
 func (c *conn) awaitFirstByte(idle time.Duration) error {
-	for {
-		deadline := time.Time{}
-		if idle > 0 {
-			deadline = time.Now().Add(idle)
-		}
-		_ = c.netConn.SetReadDeadline(deadline)
+	for c.beginWait(idle) {
 		_, err := c.reader.Peek(1)
+		c.endWait()
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.busy() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isRetiring() && !c.busy() {
 			return io.EOF // closed, failed or idle: no response is due
 		}
 	}
+	return io.EOF
+}
+
+// beginWait sets the deadline for the first byte of the next request. It reports false if the
+// connection is to be closed instead.
+func (c *conn) beginWait(idle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retiring && c.inFlight == 0 && c.reader.Buffered() == 0 {
+		return false
+	}
+	deadline := time.Time{}
+	if idle > 0 {
+		deadline = time.Now().Add(idle)
+	}
+	_ = c.netConn.SetReadDeadline(deadline)
+	c.awaiting = true
+	return true
+}
+
+func (c *conn) endWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = false
+}
+
+// retire closes the connection if it is idle. The goroutine that reads the connection closes
+// it, so that a request that it has read is answered.
+func (c *conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retiring = true
+	if c.awaiting && c.inFlight == 0 {
+		_ = c.netConn.SetReadDeadline(time.Now())
+	}
+}
+
+func (c *conn) isRetiring() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retiring
 }
 
 func (c *conn) busy() bool {
@@ -160,7 +196,7 @@
 func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inFlight == 0 && !c.readingHeader
+	return c.inFlight == 0 && c.awaiting
 }
 
 func (c *conn) isClosing() bool {
@@ -169,12 +205,6 @@
 	return c.closing
 }
 
-func (c *conn) setReadingHeader(readingHeader bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readingHeader = readingHeader
-}
-
 // checkRequest rejects invalid requests that http.ReadRequest accepts.
 func checkRequest(r *http.Request) error {
 	switch {
@@ -406,13 +436,3 @@
 	c.cancel()
 	_ = c.netConn.Close()
 }
-
-func (c *conn) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inFlight == 0 && !c.readingHeader {
-		c.closing = true
-		c.cancel()
-		_ = c.netConn.Close()
-	}
-}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -114,10 +114,11 @@
 	return true
 }
 
-// CloseIdle closes the connections on which no request is being read or handled.
+// CloseIdle closes the connections on which no request is being read or handled, also those on
+// which the last one ends later.
 func (s *Server) CloseIdle() {
 	for _, c := range s.openConns() {
-		c.closeIfIdle()
+		c.retire()
 	}
 }
 
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -50,3 +50,49 @@
 		So(closed, ShouldBeTrue)
 	})
 }
+
+// hookListener accepts connections that call afterRead when bytes have been read from them.
+type hookListener struct {
+	net.Listener
+	afterRead func()
+}
+
+// Accept implements net.Listener.
+func (l hookListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return hookConn{c.(*net.TCPConn), l.afterRead}, nil
+}
+
+type hookConn struct {
+	*net.TCPConn
+	afterRead func()
+}
+
+// Read implements net.Conn.
+func (c hookConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.afterRead()
+	}
+	return n, err
+}
+
+// Guards against a request that is dropped because its connection counts as idle between two
+// steps of reading it.
+func TestRequestReadWhileIdleConnectionsAreClosed(t *testing.T) {
+	Convey("A request that is read when idle connections are closed is answered", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Handler: &recorder{}, Limits: func() Limits { return Limits{IdleTimeout: time.Second} }, Reject: func(net.Addr, int, error) {}}
+		go func() { _ = s.Serve(hookListener{l, s.CloseIdle}) }()
+		defer s.Close()
+		defer l.Close()
+		s.Stop()
+		responses, closed := sendRaw(t, l.Addr().String(), "GET /a"+versionAndHost+"\r\n")
+		So(responses, ShouldResemble, []string{"200 /a "})
+		So(closed, ShouldBeTrue)
+	})
+}
