--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -34,7 +34,7 @@
 }
 
 // Server serves HTTP/1.1 connections. All fields must be set before Serve is called.
-// Stop, CloseIdle and Close may be called while Serve is running.
+// Stop, Idle, CloseIdle and Close may be called while Serve is running.
 type Server struct {
 	// Handler handles the requests, those of one connection concurrently. It may panic with
 	// http.ErrAbortHandler to close the connection without a response.
@@ -90,8 +90,8 @@
 	delete(s.conns, c)
 }
 
-// Stop makes every further response close its connection. Idle connections stay open, so
-// that a request that has already been sent is still answered.
+// Stop makes each connection close after its next response that no request is waiting behind.
+// Idle connections stay open, so that a request that has already been sent is still answered.
 func (s *Server) Stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,10 +104,21 @@
 	return s.stopping
 }
 
-// CloseIdle closes the connections on which no request is being read or handled.
+// Idle reports whether no request is being read, handled or answered.
+func (s *Server) Idle() bool {
+	for _, c := range s.openConns() {
+		if !c.isIdle() {
+			return false
+		}
+	}
+	return true
+}
+
+// CloseIdle closes the connections on which no request is being read or handled, also those on
+// which the last one ends later.
 func (s *Server) CloseIdle() {
 	for _, c := range s.openConns() {
-		c.closeIfIdle()
+		c.retire()
 	}
 }
 
--- /dev/null
+++ b/internal/pipeline/stop_test.go
@@ -0,0 +1,98 @@
+package pipeline
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// readAll returns the bodies of the responses that arrive until the connection ends or no further
+// one arrives within a second. closed is set when the connection has ended.
+func readAll(c net.Conn) (bodies []string, closed bool) {
+	br := bufio.NewReader(c)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		r, err := http.ReadResponse(br, nil)
+		if err != nil {
+			netErr, isNetErr := err.(net.Error)
+			return bodies, !(isNetErr && netErr.Timeout())
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return bodies, true
+		}
+		bodies = append(bodies, string(body))
+	}
+}
+
+// Guards against a stop that aborts pipelined requests which are being handled.
+func TestStopAnswersPipelinedRequests(t *testing.T) {
+	Convey("All pipelined requests that were being handled are answered, and the connection closes", t, func() {
+		h := &recorder{delay: 200 * time.Millisecond}
+		address, s := startServer(t, h, Limits{})
+		c, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		for i := range 4 {
+			_, _ = io.WriteString(c, fmt.Sprintf("GET /%d%s\r\n", i, versionAndHost))
+		}
+		time.Sleep(80 * time.Millisecond)
+		So(h.list(), ShouldHaveLength, 4)
+		s.Stop()
+		bodies, closed := readAll(c)
+		So(bodies, ShouldResemble, []string{"/0 ", "/1 ", "/2 ", "/3 "})
+		So(closed, ShouldBeTrue)
+	})
+}
+
+// hookListener accepts connections that call afterRead when bytes have been read from them.
+type hookListener struct {
+	net.Listener
+	afterRead func()
+}
+
+// Accept implements net.Listener.
+func (l hookListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return hookConn{c.(*net.TCPConn), l.afterRead}, nil
+}
+
+type hookConn struct {
+	*net.TCPConn
+	afterRead func()
+}
+
+// Read implements net.Conn.
+func (c hookConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.afterRead()
+	}
+	return n, err
+}
+
+// Guards against a request that is dropped because its connection counts as idle between two
+// steps of reading it.
+func TestRequestReadWhileIdleConnectionsAreClosed(t *testing.T) {
+	Convey("A request that is read when idle connections are closed is answered", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Handler: &recorder{}, Limits: func() Limits { return Limits{IdleTimeout: time.Second} }, Reject: func(net.Addr, int, error) {}}
+		go func() { _ = s.Serve(hookListener{l, s.CloseIdle}) }()
+		defer s.Close()
+		defer l.Close()
+		s.Stop()
+		responses, closed := sendRaw(t, l.Addr().String(), "GET /a"+versionAndHost+"\r\n")
+		So(responses, ShouldResemble, []string{"200 /a "})
+		So(closed, ShouldBeTrue)
+	})
+}
