Mesh, pipeline: read a long body with one goroutine at a time

Cause: each attempt started a goroutine that read the rest of a body over 128 KB. It ran on when the attempt or the request ended: then two attempts, or the goroutine and the connection, read one body. io.MultiReader does not allow that; the panic ended the daemon. A part that was read for a refused or unreachable upstream was missing at the next one, and an error of reading the body was ignored until the time limit. Ruled out: a write of the body in place of other bytes at an upstream that answers early: finish closes the connection unless the whole body was written (checkBodies in the test). Change: one goroutine per request reads the parts; each attempt takes them from it and gives back the part that it could not send. The body's reader in the pipeline serialises reads and makes them fail once the handler has returned, waking one that waits. A response that precedes the end of the body announces the close of the connection. A body that can't be read ends the attempt: 413 above the limit, 400 if not chunked properly, otherwise the connection is closed, as for a caller that has left. The pipe of an abandoned attempt is closed even if its exchange starts later.

--- /dev/null
+++ b/internal/pipeline/body.go
@@ -0,0 +1,83 @@
+package pipeline
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// streamedBody is a request body that is read from the connection while the request is being
+// handled. The handler may leave a goroutine behind that still reads it: reads are serialised,
+// and fail after stop, so that the connection has one reader at any time.
+type streamedBody struct {
+	conn net.Conn
+
+	reading  sync.Mutex // held during a read; guards the fields up to err
+	buffered []byte     // bytes that were read before the handler was called
+	rest     io.Reader
+	err      error         // the error that ended reading
+	ended    chan struct{} // closed when the body has been read to its end
+
+	mu      sync.Mutex // guards stopped, and the read deadline until stop
+	stopped bool
+}
+
+// Read implements io.Reader. It fails when no byte arrives within bodyTimeout, and after stop.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if b.err != nil {
+		return 0, b.err
+	}
+	if !b.extendDeadline() {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	if len(b.buffered) > 0 {
+		n := copy(p, b.buffered)
+		b.buffered = b.buffered[n:]
+		return n, nil
+	}
+	n, err := b.rest.Read(p)
+	if err == io.EOF {
+		close(b.ended)
+	}
+	b.err = err
+	return n, err
+}
+
+// Close implements io.Closer. The connection discards or closes what was not read.
+func (b *streamedBody) Close() error { return nil }
+
+// extendDeadline sets the deadline of the next read. It reports false after stop.
+func (b *streamedBody) extendDeadline() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.stopped {
+		_ = b.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	}
+	return !b.stopped
+}
+
+// stop makes all further reads fail, ends the one under way and waits for its end. It reports
+// whether the body was read to its end.
+func (b *streamedBody) stop() bool {
+	b.mu.Lock()
+	b.stopped = true
+	_ = b.conn.SetReadDeadline(time.Unix(1, 0))
+	b.mu.Unlock()
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	return b.err == io.EOF
+}
+
+// isOver reports whether the body has been read to its end.
+func (b *streamedBody) isOver() bool {
+	select {
+	case <-b.ended:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -38,6 +38,7 @@
 type exchange struct {
 	conn    *conn
 	request *http.Request
+	body    *streamedBody // nil if the body was read before the handler is called
 	// previous is closed when all earlier responses have been written, done when this one has.
 	previous, done chan struct{}
 }
@@ -273,7 +274,8 @@
 			return false
 		}
 	}
-	complete, failed := c.bufferBody(r)
+	body, failed := c.bufferBody(r)
+	ex.body = body
 	ex.request = r.WithContext(c.ctx)
 	finished := make(chan struct{})
 	c.server.handlers.Add(1)
@@ -283,47 +285,37 @@
 		defer ex.end()
 		ex.run()
 	}()
-	if !complete {
+	if body != nil {
 		<-finished // the handler reads the rest of the body from the connection
-		return !r.Close && c.discard(r.Body)
+		return body.stop() && !r.Close
 	}
 	return !r.Close && !failed
 }
 
-// discard reads the part of a body that the handler has not read. It reports false when that
-// part can't be read or has BodyBufferSize bytes or more; the connection is closed instead.
-func (c *conn) discard(body io.Reader) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, BodyBufferSize))
-	return err == nil && n < BodyBufferSize
-}
-
 func hasExpectation(r *http.Request) bool {
 	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
-// bufferBody replaces a body shorter than BodyBufferSize by a buffer with its bytes. complete
-// is false for a longer one, the rest of which must still be read from the connection. failed
-// is set when the body could not be read; the start of the next request is then unknown.
-func (c *conn) bufferBody(r *http.Request) (complete, failed bool) {
+// bufferBody replaces a body shorter than BodyBufferSize by a buffer with its bytes. For a longer
+// one it returns the body, the rest of which must still be read from the connection. failed is
+// set when the body could not be read; the start of the next request is then unknown.
+func (c *conn) bufferBody(r *http.Request) (streamed *streamedBody, failed bool) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
-		return true, false
+		return nil, false
 	}
-	r.Body = &timeoutBody{conn: c.netConn, body: r.Body}
-	data, err := io.ReadAll(io.LimitReader(r.Body, BodyBufferSize))
+	data, err := io.ReadAll(io.LimitReader(&timeoutBody{conn: c.netConn, body: r.Body}, BodyBufferSize))
 	if err != nil {
 		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(data), errorReader{err}))
 		r.Close = true
-		return true, true
+		return nil, true
 	}
 	if len(data) < BodyBufferSize {
 		r.Body = io.NopCloser(bytes.NewReader(data))
-		return true, false
+		return nil, false
 	}
-	r.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(data), r.Body), r.Body}
-	return false, false
+	streamed = &streamedBody{conn: c.netConn, buffered: data, rest: r.Body, ended: make(chan struct{})}
+	r.Body = streamed
+	return streamed, false
 }
 
 type errorReader struct{ err error }
@@ -334,7 +326,7 @@
 // timeoutBody is a request body whose reads fail when no byte arrives within bodyTimeout.
 type timeoutBody struct {
 	conn net.Conn
-	body io.ReadCloser
+	body io.Reader
 }
 
 // Read implements io.Reader.
@@ -343,9 +335,6 @@
 	return t.body.Read(p)
 }
 
-// Close implements io.Closer.
-func (t *timeoutBody) Close() error { return t.body.Close() }
-
 // run calls the handler and completes the response.
 func (ex *exchange) run() {
 	w := newResponse(ex)
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -47,7 +47,8 @@
 		return
 	}
 	c, r := w.exchange.conn, w.exchange.request
-	w.close = r.Close || c.server.isStopping() || w.header.Get("Connection") == "close"
+	body := w.exchange.body
+	w.close = r.Close || c.server.isStopping() || w.header.Get("Connection") == "close" || body != nil && !body.isOver()
 	w.setFraming(status, r)
 	if w.close {
 		w.header.Set("Connection", "close")
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -39,13 +39,14 @@
 	head    RequestHead
 	arrived time.Time
 
-	route        *routing.Route
-	outgoing     *dispatch.OutgoingRequest
-	step         dispatch.Step   // the step that led to the latest attempt
-	lastReport   dispatch.Report // the outcome of the latest attempt
-	body         []byte          // the first part of the body
-	more         bool            // r.Body holds the rest of the body
-	bodyConsumed bool            // reading the rest has begun, so that it can't be sent again
+	route      *routing.Route
+	outgoing   *dispatch.OutgoingRequest
+	step       dispatch.Step   // the step that led to the latest attempt
+	lastReport dispatch.Report // the outcome of the latest attempt
+	body       []byte          // the first part of the body
+	more       bool            // rest holds the rest of the body
+	rest       bodyRest
+	bodyErr    error // the error with which reading the body ended an attempt
 }
 
 // admit checks the request, finds its route and reads the first part of its body. It returns
@@ -113,6 +114,8 @@
 	d.inFlight++
 	d.mu.Unlock()
 	defer d.requestEnded()
+	c.rest.ended = make(chan struct{})
+	defer close(c.rest.ended)
 	for {
 		if step.Code != 0 {
 			d.countEnd(c.route, service, step.Code)
@@ -122,14 +125,9 @@
 		c.step, c.lastReport = step, dispatch.Report{}
 		report, answer := c.attempt(ctx, step)
 		c.lastReport = report
-		if ctx.Err() != nil {
-			d.mu.Lock()
-			d.dispatcher.Abandon(c.outgoing)
-			d.mu.Unlock()
-			answer.drop()
-			d.recordOutcome(c, outcomeCallerLeft)
-			d.log.Info(eventCallerLeft, append(c.attemptFields(), zap.Duration("held", time.Since(c.arrived)))...)
-			panic(http.ErrAbortHandler)
+		if ctx.Err() != nil || c.bodyErr != nil {
+			c.abandon(answer)
+			return
 		}
 		next := c.report(report)
 		d.logAttempt(c, report, next)
@@ -143,6 +141,26 @@
 	}
 }
 
+// abandon ends a request whose caller has left during an attempt, or whose body could not be
+// read. The attempt does not count as a failure of its upstream.
+func (c *callerRequest) abandon(answer *pendingAnswer) {
+	d := c.daemon
+	d.mu.Lock()
+	d.dispatcher.Abandon(c.outgoing)
+	d.mu.Unlock()
+	answer.drop()
+	if c.r.Context().Err() == nil && c.refuseBody() {
+		return
+	}
+	d.recordOutcome(c, outcomeCallerLeft)
+	fields := append(c.attemptFields(), zap.Duration("held", time.Since(c.arrived)))
+	if c.bodyErr != nil {
+		fields = append(fields, errorField(c.bodyErr))
+	}
+	d.log.Info(eventCallerLeft, fields...)
+	panic(http.ErrAbortHandler)
+}
+
 func (c *callerRequest) report(r dispatch.Report) dispatch.Step {
 	d := c.daemon
 	d.mu.Lock()
@@ -158,6 +176,10 @@
 	cancel func()
 }
 
+// continues reports whether further parts of the answer's body are to be fetched. The rest of the
+// request's body is sent until then.
+func (a *pendingAnswer) continues() bool { return a != nil && a.answer != nil && a.answer.More }
+
 // drop cancels an answer that is not passed on.
 func (a *pendingAnswer) drop() {
 	if a != nil && a.cancel != nil {
@@ -185,9 +207,14 @@
 	if reply.Outcome != 0 {
 		c.daemon.recordBlocked(c.route, c.outgoing.Service, &reply)
 	}
+	retryable := !c.more
+	if result != dispatch.Answered && !answer.continues() {
+		c.rest.wait()
+		retryable, c.bodyErr = !c.rest.consumed, c.rest.err
+	}
 	report := dispatch.Report{
 		Result: result, Load: reply.Load, HasLoad: reply.Outcome != 0,
-		Wait: reply.Wait, Retryable: !c.bodyConsumed,
+		Wait: reply.Wait, Retryable: retryable,
 	}
 	if reply.Answer != nil {
 		report.Elapsed = reply.Answer.Elapsed
@@ -252,28 +279,13 @@
 func (c *callerRequest) attemptLocal(ask *AskArgs) (Reply, *pendingAnswer) {
 	a := newLocalAttempt(c.r.Context())
 	ask.Payload = c.payload()
-	if c.more {
-		c.bodyConsumed = true
-		go c.sendBody(a.writeChunk)
-	}
+	c.sendRest(a.ctx, a.writeChunk, a.abandon)
 	reply := c.daemon.ask(a, ask)
-	if reply.Answer == nil || !reply.Answer.More {
+	answer := &pendingAnswer{answer: reply.Answer, more: a.more, cancel: a.abandon}
+	if !answer.continues() {
 		a.abandon()
 	}
-	return reply, &pendingAnswer{answer: reply.Answer, more: a.more, cancel: a.abandon}
-}
-
-// sendBody sends the rest of the body in parts.
-func (c *callerRequest) sendBody(send func(data []byte, last bool) error) {
-	for {
-		data, last, err := readPart(c.r.Body, maxPartBytes, -1)
-		if err != nil {
-			return // the connection to the caller has failed, which ends the request
-		}
-		if err := send(data, last); err != nil || last {
-			return
-		}
-	}
+	return reply, answer
 }
 
 // attemptRemote attempts the request at an upstream on another VM, through the daemon there. A
@@ -290,26 +302,36 @@
 	if err != nil {
 		return Reply{}, nil, c.resultWithoutReply(ctx, ask.Payload != nil, err)
 	}
+	sendCtx, stopSending := context.WithCancel(c.r.Context())
 	if reply.Outcome == OutcomeGranted {
+		runCtx, cancelRun := context.WithCancel(ctx)
+		defer cancelRun()
+		c.sendRest(sendCtx, func(data []byte, last bool) error {
+			_, err := callLink[PingReply](sendCtx, link, "Chunk", &ChunkArgs{ID: ask.ID, Data: data, Last: last})
+			return err
+		}, cancelRun)
 		args := &RunArgs{ID: ask.ID, Left: time.Until(c.outgoing.Deadline), Payload: *c.payload()}
-		if c.more {
-			c.bodyConsumed = true
-			go c.sendBody(func(data []byte, last bool) error {
-				_, err := callLink[PingReply](ctx, link, "Chunk", &ChunkArgs{ID: ask.ID, Data: data, Last: last})
-				return err
-			})
-		}
-		if reply, err = callLink[Reply](ctx, link, "Run", args); err != nil {
+		if reply, err = callLink[Reply](runCtx, link, "Run", args); err != nil {
+			stopSending()
 			link.cancel(ask.ID)
 			return Reply{}, nil, c.resultWithoutReply(ctx, true, err)
 		}
 	}
 	answer := &pendingAnswer{answer: reply.Answer}
+	if !answer.continues() {
+		stopSending()
+		return reply, answer, 0
+	}
 	answer.more = func() (MoreReply, error) {
-		return callLink[MoreReply](c.r.Context(), link, "More", &CallID{ID: ask.ID})
+		part, err := callLink[MoreReply](c.r.Context(), link, "More", &CallID{ID: ask.ID})
+		if err != nil || part.Last {
+			stopSending()
+		}
+		return part, err
 	}
-	if reply.Answer != nil && reply.Answer.More {
-		answer.cancel = func() { link.cancel(ask.ID) }
+	answer.cancel = func() {
+		stopSending()
+		link.cancel(ask.ID)
 	}
 	return reply, answer, 0
 }
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -296,6 +296,7 @@
 	case payload.More:
 		reader, writer := io.Pipe()
 		a.body = writer
+		context.AfterFunc(a.ctx, func() { _ = writer.CloseWithError(errors.New("the attempt is over")) })
 		close(a.bodyReady)
 		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(payload.Body), reader))
 	case len(payload.Body) > 0:
@@ -404,25 +405,20 @@
 	if err != nil {
 		a.rest.abort()
 		a.rest = nil
+		a.abandon()
 		return MoreReply{}, errors.Wrap(err, "read body")
 	}
 	if last {
 		a.rest.finish()
 		a.rest = nil
 		a.stopRun()
+		a.abandon()
 	}
 	return MoreReply{Data: data, Last: last}, nil
 }
 
 // abandon cancels the attempt. What is left of its body and of its answer is discarded.
-func (a *localAttempt) abandon() {
-	a.cancel()
-	select {
-	case <-a.bodyReady:
-		_ = a.body.CloseWithError(errors.New("the attempt is over"))
-	default:
-	}
-}
+func (a *localAttempt) abandon() { a.cancel() }
 
 // writeChunk passes a further part of the request's body to the backend server.
 func (a *localAttempt) writeChunk(data []byte, last bool) error {
