Pipeline: notice the caller's leaving once a long body is in

Cause: while a request with a body over 128 KB was handled, nobody read from its connection. After the end of the body the caller's leaving went unnoticed, and the upstream worked on until the time limit. Ruled out: the cancellation between the daemons: a short body is aborted in time (TestPipelining). Change: the connection is read again as soon as the body has been read to its end.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -285,11 +285,15 @@
 		defer ex.end()
 		ex.run()
 	}()
-	if body != nil {
-		<-finished // the handler reads the rest of the body from the connection
+	if body == nil {
+		return !r.Close && !failed
+	}
+	select {
+	case <-body.ended: // the end of the connection must be noticed while the request is handled
+		return !r.Close
+	case <-finished:
 		return body.stop() && !r.Close
 	}
-	return !r.Close && !failed
 }
 
 func hasExpectation(r *http.Request) bool {
