--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -47,7 +47,8 @@
 		return
 	}
 	c, r := w.exchange.conn, w.exchange.request
-	w.close = r.Close || w.header.Get("Connection") == "close" || w.exchange.isLast()
+	bodyUnread := w.exchange.body != nil && !w.exchange.body.isOver()
+	w.close = r.Close || bodyUnread || w.header.Get("Connection") == "close" || w.exchange.isLast()
 	w.setFraming(status, r)
 	if w.close {
 		w.header.Set("Connection", "close")
