Dispatch: do not try another upstream once part of the body is spent

Cause: after Refused, Leaving, NoReply and WrongUpstream the next upstream was chosen without regard to Report.Retryable. An upstream that answers 421 after it has received a part of a body over 128 KB left the next one with a body that lacks this part. Ruled out: Failed, Lost and Rejected; mayRetry checks Retryable. Change: such a request is refused. It has not run, so that the caller may send it again.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -44,6 +44,9 @@
 	// use. A retried run makes its calls again, and these count as retries too: with calls
 	// several levels deep, the shares of all levels add up at the lowest level.
 	budgetShare = 0.2
+	// bodySpent is the reason for ending a request that can't be sent again, because part of its
+	// body was sent.
+	bodySpent = "body_spent"
 )
 
 // Config holds the settings of a Dispatcher.
@@ -286,12 +289,18 @@
 		if req.minWait == 0 || report.Wait < req.minWait {
 			req.minWait = report.Wait
 		}
-		if req.mayQueue {
+		switch {
+		case !report.Retryable:
+			return d.refuse(req, resultcode.Shed, req.minWait, bodySpent)
+		case req.mayQueue:
 			return d.refuse(req, resultcode.Shed, req.minWait, "wait_too_long")
 		}
 		return d.Next(now, req)
 	case Leaving, NoReply, WrongUpstream:
 		d.exclude(req)
+		if !report.Retryable {
+			return d.refuse(req, resultcode.BackendRefused, 0, bodySpent)
+		}
 		return d.Next(now, req)
 	case Unsent:
 		return d.refuse(req, resultcode.QueueTimeout, req.minWait, "time_over")
@@ -384,7 +393,7 @@
 	left := req.Deadline.Sub(now)
 	switch {
 	case !report.Retryable:
-		return "body_spent", false
+		return bodySpent, false
 	case !req.Route.Idempotent && report.Result != Rejected:
 		return "not_idempotent", false
 	case req.sent >= req.Route.MaxUpstreams:
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -64,6 +64,22 @@
 	})
 }
 
+// Guards against a request that reaches a second upstream without the part of its body that the
+// first one received.
+func TestBodySpent(t *testing.T) {
+	Convey("A request whose body is no longer available is refused, whatever the reason that it has not run", t, func() {
+		for _, r := range []Result{Refused, Leaving, NoReply, WrongUpstream, Rejected} {
+			d, _ := fleet(3)
+			req := open(d, true)
+			d.Next(start, req)
+			step := d.Report(start, req, Report{Result: r})
+			So(step.Code.Kind(), ShouldEqual, resultcode.NotRun)
+			So(step.Reason, ShouldEqual, "body_spent")
+			So(step.RetryAfter, ShouldBeGreaterThan, 0)
+		}
+	})
+}
+
 // Guards against a refusal that claims that a request has not run although an earlier
 // attempt may have run it.
 func TestRefusalAfterLostAttempt(t *testing.T) {
