Push every crash report of a request, not only the first

Cause: a change is pushed to four peers when it is first learned, and the disseminator remembered crash reports by the fingerprint of the request. The report of the second crash, that of the third and the refusal that follows were taken as pushed and went out with the exchange of one peer per second. Trace of one run that failed: one read crashed stock-c, stock-b and stock-a within 9 ms (two retries). The first report was everywhere at 1.500 s, the other two left at 1.990 s. The send at 1.801 s found one or two reports at each daemon and crashed all three again: 6. Ruled out: the bound of the test. Three crashes quarantine the request, so that 5 allows for two runs already on their way. Loss in the merge: in the same run every report that was sent was merged once. Change: a report is remembered by fingerprint, incarnation and time, so that each is pushed once. Clearances and refusals of the same request count as reports of their own. TestEveryCrashOfARequestIsPushed fails without the change.

--- a/core/membership/disseminator.go
+++ b/core/membership/disseminator.go
@@ -40,33 +40,41 @@
 	Version uint64
 	// Leaving holds the records of daemons that started to leave.
 	Leaving []Record
-	// Fingerprints identify newly quarantined requests.
-	Fingerprints []uint64
+	// Reports identify the reports of crashing requests that are new.
+	Reports []ReportID
+}
+
+// ReportID identifies a crash report, a clearance or a refusal of a request. The
+// incarnation is zero in the latter two.
+type ReportID struct {
+	Fingerprint uint64
+	Incarnation uuid.UUID
+	AtUnixNano  int64
 }
 
 // Empty reports whether there is nothing to push.
 func (p Push) Empty() bool {
-	return p.Version == 0 && len(p.Leaving) == 0 && len(p.Fingerprints) == 0
+	return p.Version == 0 && len(p.Leaving) == 0 && len(p.Reports) == 0
 }
 
 // Disseminator decides which changes are pushed to peers: each change once, when it is
 // first learned. It also decides from which peer a newer configuration is fetched.
 type Disseminator struct {
-	version      uint64
-	configFetch  configFetch
-	leaving      expiringSet[uuid.UUID]
-	fingerprints expiringSet[uint64]
-	pending      Push
+	version     uint64
+	configFetch configFetch
+	leaving     expiringSet[uuid.UUID]
+	reports     expiringSet[ReportID]
+	pending     Push
 }
 
 // NewDisseminator returns a Disseminator with nothing to push. version is that of the
 // configuration in force, 0 for none.
 func NewDisseminator(version uint64) *Disseminator {
 	return &Disseminator{
-		version:      version,
-		configFetch:  newConfigFetch(),
-		leaving:      newExpiringSet[uuid.UUID](maxRememberedChanges, TombstoneTTL),
-		fingerprints: newExpiringSet[uint64](maxRememberedChanges, TombstoneTTL),
+		version:     version,
+		configFetch: newConfigFetch(),
+		leaving:     newExpiringSet[uuid.UUID](maxRememberedChanges, TombstoneTTL),
+		reports:     newExpiringSet[ReportID](maxRememberedChanges, TombstoneTTL),
 	}
 }
 
@@ -95,14 +103,15 @@
 	return true
 }
 
-// Quarantine adds the fingerprint of a quarantined request to the next push. It reports
-// false if the fingerprint was added before.
-func (d *Disseminator) Quarantine(now time.Time, fingerprint uint64) bool {
-	if d.fingerprints.has(now, fingerprint) {
+// Quarantine adds a report to the next push. It reports false if the report was added
+// before. A further report of the same request is pushed too: a daemon that does not
+// know it runs the request again.
+func (d *Disseminator) Quarantine(now time.Time, id ReportID) bool {
+	if d.reports.has(now, id) {
 		return false
 	}
-	d.fingerprints.add(now, fingerprint)
-	d.pending.Fingerprints = append(d.pending.Fingerprints, fingerprint)
+	d.reports.add(now, id)
+	d.pending.Reports = append(d.pending.Reports, id)
 	return true
 }
 
--- a/core/membership/view_test.go
+++ b/core/membership/view_test.go
@@ -259,9 +259,11 @@
 		So(d.Leaving(t0, left), ShouldBeTrue)
 		So(d.Leaving(t0, left), ShouldBeFalse)
 		So(d.Leaving(t0, withState(testRecord("b", 1), Leaving, 1, 2*GracePeriod)), ShouldBeFalse)
-		So(d.Quarantine(t0, 77), ShouldBeTrue)
-		So(d.Quarantine(t0, 77), ShouldBeFalse)
-		So(d.TakePending(), ShouldResemble, Push{Version: 6, Leaving: []Record{left}, Fingerprints: []uint64{77}})
+		first, second := ReportID{Fingerprint: 77, Incarnation: uuid.New()}, ReportID{Fingerprint: 77, Incarnation: uuid.New()}
+		So(d.Quarantine(t0, first), ShouldBeTrue)
+		So(d.Quarantine(t0, first), ShouldBeFalse)
+		So(d.Quarantine(t0, second), ShouldBeTrue)
+		So(d.TakePending(), ShouldResemble, Push{Version: 6, Leaving: []Record{left}, Reports: []ReportID{first, second}})
 		So(d.TakePending().Empty(), ShouldBeTrue)
 	})
 	Convey("A configuration is fetched from one holder at a time until it is in force", t, func() {
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -72,9 +72,7 @@
 	for _, r := range truncate(d.Records, maxDigestRecords) {
 		n.mergeRecord(now, r)
 	}
-	for _, r := range n.crashes.Merge(now, truncate(d.Reports, maxDigestReports)) {
-		n.disseminator.Quarantine(now, r.Fingerprint)
-	}
+	n.pushReports(now, n.crashes.Merge(now, truncate(d.Reports, maxDigestReports)))
 	n.disseminator.ObserveVersion(now, d.ConfigVersion, d.Sender)
 	n.applyMembership(now)
 }
@@ -90,6 +88,17 @@
 	}
 }
 
+// pushReports adds reports that are new to the next push.
+func (n *Node) pushReports(now time.Time, reports []quarantine.Report) {
+	for _, r := range reports {
+		n.disseminator.Quarantine(now, membership.ReportID{
+			Fingerprint: r.Fingerprint,
+			Incarnation: r.Incarnation,
+			AtUnixNano:  r.At.UnixNano(),
+		})
+	}
+}
+
 func truncate[T any](list []T, limit int) []T { return list[:min(len(list), limit)] }
 
 // SetVMs merges the platform's list of VMs.
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -291,6 +291,30 @@
 	})
 }
 
+// Guards against a request that keeps running because only the report of its first crash
+// was pushed.
+func TestEveryCrashOfARequestIsPushed(t *testing.T) {
+	Convey("Each new report of a request is pushed at once, also by the daemons that receive it", t, func() {
+		f, peer := newFixture("order-a", "order"), newFixture("order-b", "order")
+		f.Outbox(at(0))
+		peer.Outbox(at(0))
+		for i := range 2 {
+			m := incomingCall(f, "status", true, "")
+			m.Fingerprint = 42
+			So(f.Arrive(at(10*i), m).Verdict, ShouldEqual, Run)
+			f.BackendDown(at(10*i + 1))
+			f.Done(at(10*i+1), m.CallID, Outcome{Code: resultcode.BackendCrashed})
+			f.BackendUp()
+			out := f.Outbox(at(10*i + 2))
+			So(out.Push, ShouldBeTrue)
+			peer.Receive(at(10*i+3), out.Digest)
+			So(peer.Outbox(at(10*i+3)).Push, ShouldBeTrue)
+			peer.Receive(at(10*i+4), out.Digest)
+			So(peer.Outbox(at(10*i+4)).Push, ShouldBeFalse)
+		}
+	})
+}
+
 // Guards against an answer that reaches the caller of another request, and against
 // violated invariants that are not reported.
 func TestInvariantViolationsAreReported(t *testing.T) {
--- a/core/node/server.go
+++ b/core/node/server.go
@@ -400,9 +400,7 @@
 		return nil
 	}
 	n.closeRecord(now, r, o)
-	for _, report := range n.crashes.CallEnded(callID, o.Code == resultcode.OK) {
-		n.disseminator.Quarantine(now, report.Fingerprint)
-	}
+	n.pushReports(now, n.crashes.CallEnded(callID, o.Code == resultcode.OK))
 	n.remove(r, finalEvent(o.Code))
 	return n.translate(now, n.admission.Done(now, callID, admission.Outcome{
 		Latency:    o.Latency,
@@ -466,9 +464,7 @@
 		return
 	}
 	n.backendDown = true
-	for _, r := range n.crashes.BackendCrashed(now, n.backendIncarnation) {
-		n.disseminator.Quarantine(now, r.Fingerprint)
-	}
+	n.pushReports(now, n.crashes.BackendCrashed(now, n.backendIncarnation))
 	n.cfg.Observe(Observation{Type: ObservedCrash, Service: n.cfg.Self.Service})
 }
 
