Log exchanges that their caller ended as canceled

Cause: an exchange with the backend server that is closed because its caller left, or because the daemon that had sent it is gone, was logged as no_answer, and explain attributed it to the backend server.

Change: its reason is 'canceled', in the log line and in the label of the histogram; explain names the caller or the broken connection. The outcome that is reported to the dispatcher is unchanged.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -107,6 +107,8 @@
 		return fmt.Sprintf("the backend server of upstream %s accepted no connection", l.Get("upstream"))
 	case l.Get("reason") == "time_over":
 		return fmt.Sprintf("the time was over %s s after the request went to the backend server of upstream %s", l.Get("elapsed"), l.Get("upstream"))
+	case l.Get("reason") == "canceled":
+		return fmt.Sprintf("it was ended %s s after it went to the backend server of upstream %s: its caller left, or the connection to the daemon that had sent it broke", l.Get("elapsed"), l.Get("upstream"))
 	}
 	return fmt.Sprintf("the backend server of upstream %s broke off after %s s: %s", l.Get("upstream"), l.Get("elapsed"), l.Get("error"))
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -51,6 +51,13 @@
 		So(out.String(), ShouldContainSubstring, `cause: its call 7f.1: the backend server of upstream i-4 broke off after 0.2 s: read answer: "connection" reset`)
 		So(out.String(), ShouldContainSubstring, "2 lines could not be read")
 	})
+	Convey("A run that ended with its caller is not attributed to the backend server", t, func() {
+		r := NewReader("8c")
+		So(r.Read("a.log", strings.NewReader(`level=info time=2026-04-17T08:40:37Z msg="backend exchange failed" id=8c upstream=i-4 elapsed=0.2 reason=canceled error="use of closed network connection"`+"\n")), ShouldBeNil)
+		report, err := r.Report()
+		So(err, ShouldBeNil)
+		So(report.Causes(), ShouldResemble, []string{"it was ended 0.2 s after it went to the backend server of upstream i-4: its caller left, or the connection to the daemon that had sent it broke"})
+	})
 	Convey("An unknown request is an error", t, func() {
 		_, err := readLogs("no-such")
 		So(errors.Is(err, ErrRequestNotFound), ShouldBeTrue)
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -319,6 +319,8 @@
 		outcome, reason = OutcomeUnsent, "time_over"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		outcome, reason = OutcomeExpired, "time_over"
+	case ctx.Err() != nil:
+		reason = "canceled"
 	}
 	elapsed := time.Since(started)
 	d.metrics.Observe(metricBackendTime, elapsed, a.kind, reason)
