Mesh, pipeline: a panic in the handling of one request ends only that request

Cause: nothing recovered a panic in the goroutines of a request: the handler, the exchange with the backend server, the readers and writers of bodies, and net/rpc calls of peers, for which net/rpc recovers nothing. A fault that one request causes ended the process and lost all requests that it held. Change: recover at the boundary of a request, a log line with its id and up to 4 KB of the stack, a counter. The caller's connection is closed, or the attempt's outcome is unknown (502); slots are released and attempts under way abandoned. The mutex of the daemon notes a panic that passes its deferred Unlock: then the state may be half changed and the panic goes on, so that the process ends rather than work with it or hang. Critical sections of the request path unlock with defer. Loops of the daemon, Sync, Follow and Ping are not covered.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -74,6 +74,11 @@
 	defer c.server.removeConn(c)
 	defer c.netConn.Close()
 	defer c.cancel()
+	defer func() {
+		if v := recover(); v != nil {
+			c.server.panicked(v)
+		}
+	}()
 	for c.awaitCapacity() {
 		r, err := c.readRequest()
 		if err != nil {
@@ -345,7 +350,7 @@
 	defer func() {
 		if v := recover(); v != nil {
 			if v != http.ErrAbortHandler {
-				panic(v)
+				ex.conn.server.panicked(v)
 			}
 			// Earlier responses are written before the connection is closed.
 			if ex.awaitPrevious() {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -43,6 +43,9 @@
 	Limits func() Limits
 	// Reject is called for a request that can't be parsed, with the status of the response.
 	Reject func(remote net.Addr, status int, err error)
+	// Panicked is called with the value of a panic while a connection is read or in a handler,
+	// and the connection is closed. If it is nil, the panic goes on.
+	Panicked func(value any)
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
@@ -129,3 +132,10 @@
 	}
 	return list
 }
+
+func (s *Server) panicked(value any) {
+	if s.Panicked == nil {
+		panic(value)
+	}
+	s.Panicked(value)
+}
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -40,6 +40,8 @@
 	address string
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	count   func(event string) // counts events of connections
+	// panicked is called with the value of a panic while a request is written.
+	panicked func(value any)
 
 	mu   sync.Mutex
 	idle []*backendConn // the most recently used is the last
@@ -95,7 +97,16 @@
 		return req.Write(ex.conn)
 	}
 	ex.writeDone = make(chan error, 1)
-	go func() { ex.writeDone <- req.Write(ex.conn) }()
+	go func() {
+		defer func() {
+			if v := recover(); v != nil {
+				ex.backend.panicked(v)
+				_ = ex.conn.Close()
+				ex.writeDone <- errPanicked
+			}
+		}()
+		ex.writeDone <- req.Write(ex.conn)
+	}()
 	return nil
 }
 
--- a/mesh/body.go
+++ b/mesh/body.go
@@ -34,10 +34,17 @@
 	err      error     // the body could not be read
 }
 
-// read reads the body in parts, to its end or until the request has ended.
-func (b *bodyRest) read(body io.Reader) {
+// readRest reads the body in parts, to its end or until the request has ended.
+func (c *callerRequest) readRest() {
+	b := &c.rest
+	defer c.daemon.recoverPanic(panicBody, &c.head.ID, func() {
+		select {
+		case b.parts <- bodyPart{err: errPanicked}:
+		case <-b.ended:
+		}
+	})
 	for {
-		data, last, err := readPart(body, maxPartBytes, -1)
+		data, last, err := readPart(c.r.Body, maxPartBytes, -1)
 		select {
 		case b.parts <- bodyPart{data, last, err}:
 		case <-b.ended:
@@ -99,13 +106,17 @@
 	rest := &c.rest
 	if rest.parts == nil {
 		rest.parts = make(chan bodyPart)
-		go rest.read(c.r.Body)
+		go c.readRest()
 	}
 	rest.wait()
 	sending := make(chan struct{})
 	rest.sending = sending
 	go func() {
 		defer close(sending)
+		defer c.daemon.recoverPanic(panicBody, &c.head.ID, func() {
+			rest.err = errPanicked
+			fail()
+		})
 		rest.send(ctx, send, fail)
 	}()
 }
@@ -119,7 +130,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		c.refuse(resultcode.BodyTooLarge, 0, "body_size")
-	case errors.As(err, &failed), errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.As(err, &failed), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errPanicked):
 		return false
 	default:
 		c.refuse(resultcode.BadRequest, 0, "body_code")
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -23,7 +23,9 @@
 
 // serveCaller handles a request of a caller on this VM or of the local backend server.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
-	c := &callerRequest{daemon: d, w: w, r: r, head: d.convention.Request(r.Header), arrived: time.Now()}
+	c := &callerRequest{daemon: d, w: w, r: r, arrived: time.Now()}
+	defer d.recoverPanic(panicCaller, &c.head.ID, c.panicked)
+	c.head = d.convention.Request(r.Header)
 	if code := c.admit(); code != 0 {
 		c.refuse(code, notServingRetryAfter, code.String())
 		return
@@ -46,6 +48,7 @@
 	body       []byte          // the first part of the body
 	more       bool            // rest holds the rest of the body
 	rest       bodyRest
+	attempting bool  // an attempt is under way
 	bodyErr    error // the error with which reading the body ended an attempt
 }
 
@@ -108,11 +111,7 @@
 		c.refuseShed(service, refusal)
 		return
 	}
-	d.mu.Lock()
-	c.outgoing = d.dispatcher.Open(now, c.route, service, left, d.retryShare())
-	step := d.dispatcher.Next(now, c.outgoing)
-	d.inFlight++
-	d.mu.Unlock()
+	step := c.open(now, service, left)
 	defer d.requestEnded()
 	c.rest.ended = make(chan struct{})
 	defer close(c.rest.ended)
@@ -122,9 +121,9 @@
 			c.refuse(step.Code, step.RetryAfter, step.Reason)
 			return
 		}
-		c.step, c.lastReport = step, dispatch.Report{}
+		c.step, c.lastReport, c.attempting = step, dispatch.Report{}, true
 		report, answer := c.attempt(ctx, step)
-		c.lastReport = report
+		c.lastReport, c.attempting = report, false
 		if ctx.Err() != nil || c.bodyErr != nil {
 			c.abandon(answer)
 			return
@@ -141,13 +140,37 @@
 	}
 }
 
+// open registers the request with the dispatcher and returns its first step.
+func (c *callerRequest) open(now time.Time, service string, left time.Duration) dispatch.Step {
+	d := c.daemon
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.outgoing = d.dispatcher.Open(now, c.route, service, left, d.retryShare())
+	step := d.dispatcher.Next(now, c.outgoing)
+	d.inFlight++
+	return step
+}
+
+// panicked ends the request after a panic. Closing the connection promises nothing, and ends what
+// was started for the request.
+func (c *callerRequest) panicked() {
+	if c.attempting {
+		c.abandonAttempt()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (c *callerRequest) abandonAttempt() {
+	c.daemon.mu.Lock()
+	defer c.daemon.mu.Unlock()
+	c.daemon.dispatcher.Abandon(c.outgoing)
+}
+
 // abandon ends a request whose caller has left during an attempt, or whose body could not be
 // read. The attempt does not count as a failure of its upstream.
 func (c *callerRequest) abandon(answer *pendingAnswer) {
 	d := c.daemon
-	d.mu.Lock()
-	d.dispatcher.Abandon(c.outgoing)
-	d.mu.Unlock()
+	c.abandonAttempt()
 	answer.drop()
 	if c.r.Context().Err() == nil && c.refuseBody() {
 		return
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -92,7 +92,7 @@
 	answers    atomic.Uint64
 	routes     atomic.Pointer[routing.Table]
 
-	mu               sync.Mutex // guards the fields up to newerPeer
+	mu               stateMutex // guards the fields up to newerPeer
 	dir              *directory.Directory
 	replica          replica.Replica
 	splitter         routing.Splitter
@@ -162,7 +162,8 @@
 	d.workers = workgroup.New()
 	d.ctx = d.workers.Context()
 	d.backend = &backend{address: settings.BackendAddress, dial: opts.Dial,
-		count: func(event string) { d.metrics.Count(metricBackend, event) }}
+		count:    func(event string) { d.metrics.Count(metricBackend, event) },
+		panicked: func(value any) { d.logPanic(panicBody, "", value) }}
 	d.declareGauges()
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Zone: settings.Zone, Rand: opts.Rand,
@@ -235,6 +236,7 @@
 		d.metrics.Count(metricUnreadable)
 		d.log.Info(eventNotParsed, zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
 	}
+	d.callers.Panicked = func(v any) { d.logPanic(panicConnection, "", v) }
 	d.workers.Go(func() {
 		if err := d.callers.Serve(l); err != nil {
 			d.log.Error(eventListenerFailed, zap.String("address", d.settings.CallerAddress), errorField(err))
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -23,6 +23,7 @@
 	eventExpired        = "upstream gone"
 	eventPeerSilent     = "peer connection silent"
 	eventGate           = "gate"
+	eventPanic          = "panic"
 
 	eventNotParsed      = "request not parsed"
 	eventNotAdmitted    = "not let in"
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -61,6 +61,7 @@
 // ask requests a slot from the limiter and, if the request itself came with args, runs it.
 // The attempt ends with its context.
 func (d *Daemon) ask(a *localAttempt, args *AskArgs) Reply {
+	defer d.releaseOnPanic(a)
 	a.requestID, a.instance, a.kind, a.origin, a.isRetry = args.RequestID, args.Instance, args.Kind, args.CallerService, args.Repeat
 	asked := time.Now()
 	deadline := asked.Add(args.Left)
@@ -236,7 +237,7 @@
 	d.countRetryRun(a, 1)
 	go func() {
 		defer d.countRetryRun(a, -1)
-		replies <- d.exchange(ctx, graceCtx, a, payload, left)
+		replies <- d.tryExchange(ctx, graceCtx, a, payload, left)
 	}()
 	timer := time.NewTimer(left)
 	defer timer.Stop()
@@ -258,6 +259,16 @@
 	return average > 0 && average < exchangeGrace
 }
 
+// tryExchange is exchange, with the reply that the outcome is unknown after a panic.
+func (d *Daemon) tryExchange(ctx, graceCtx context.Context, a *localAttempt, payload *Payload, left time.Duration) (r Reply) {
+	defer d.recoverPanic(panicExchange, &a.requestID, func() {
+		a.stopRun()
+		d.releaseSlot(a, slots.Outcome{Failed: true})
+		r = d.reply(a, OutcomeLost, slots.Decision{Reason: "panic"})
+	})
+	return d.exchange(ctx, graceCtx, a, payload, left)
+}
+
 // exchange sends the request and reads the first part of the answer. Nothing is sent after
 // ctx has ended; the connection is closed when graceCtx ends.
 func (d *Daemon) exchange(ctx, graceCtx context.Context, a *localAttempt, payload *Payload, left time.Duration) Reply {
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -28,6 +28,7 @@
 	metricConfigs         = counter("configurations_total", "Configurations that were put in force or refused.", "result")
 	metricSyncs           = counter("peer_syncs_total", "Exchanges with a peer that holds newer changes.", "result")
 	metricFailedNotices   = counter("peer_notices_failed_total", "Notices of changes that did not reach a peer.")
+	metricPanics          = counter("panics_total", "Panics that ended one request, by the part of its handling.", "where")
 	metricDropped         = counter("log_lines_dropped_total", "Log lines that were dropped, by event.", "event")
 
 	metricRequestTime = histogram("request_seconds", "Time from a caller's request to its final answer.", "kind", "outcome")
--- /dev/null
+++ b/mesh/panics.go
@@ -0,0 +1,107 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+)
+
+// maxStackBytes bounds the stack in the log line of a panic.
+const maxStackBytes = 4 << 10
+
+// errPanicked is the error of a part of a request that ended with a panic.
+var errPanicked = errors.New("panic; see the log")
+
+// Parts of the handling of a request in which a panic ends only that request.
+const (
+	panicCaller     = "caller"
+	panicConnection = "connection"
+	panicBody       = "body"
+	panicPeer       = "peer"
+	panicExchange   = "exchange"
+)
+
+// stateMutex is a mutex that notes a panic of a critical section that unlocks it with defer. The
+// state that it guards may then be half changed.
+type stateMutex struct {
+	sync.Mutex
+	panicked atomic.Bool
+}
+
+// Unlock implements sync.Locker.
+func (m *stateMutex) Unlock() {
+	v := recover()
+	if v != nil {
+		m.panicked.Store(true)
+	}
+	m.Mutex.Unlock()
+	if v != nil {
+		panic(v)
+	}
+}
+
+// recoverPanic, deferred, ends a panic in the handling of one request, logs it and calls fail to
+// end that request. It does not end http.ErrAbortHandler, nor a panic of code that held d.mu:
+// with state that is half changed, the process ends rather than go on.
+func (d *Daemon) recoverPanic(where string, id *string, fail func()) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler || d.mu.panicked.Load() {
+		panic(v)
+	}
+	d.logPanic(where, *id, v)
+	fail()
+}
+
+// releaseOnPanic, deferred, cancels an attempt and releases its slot when a panic passes.
+func (d *Daemon) releaseOnPanic(a *localAttempt) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if !d.mu.panicked.Load() {
+		a.abandon()
+		d.dropSlot(a)
+	}
+	panic(v)
+}
+
+func (d *Daemon) dropSlot(a *localAttempt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, a.id)
+	d.limiter.Cancel(a.id)
+	d.deliverDecisions(d.limiter.Release(time.Now(), a.id))
+}
+
+// recoverCall is recoverPanic for a call of a peer about an attempt. The call ends with an error.
+func (c *PeerConn) recoverCall(id uint64, err *error) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if c.daemon.mu.panicked.Load() {
+		panic(v)
+	}
+	request := ""
+	if a := c.findAttempt(id); a != nil {
+		request = a.requestID
+	}
+	c.daemon.logPanic(panicPeer, request, v)
+	*err = errPanicked
+}
+
+func (d *Daemon) logPanic(where, id string, v any) {
+	stack := debug.Stack()
+	d.metrics.Count(metricPanics, where)
+	d.log.Error(eventPanic, zap.String("id", id), zap.String("where", where), zap.String("error", fmt.Sprint(v)),
+		zap.ByteString("stack", stack[:min(len(stack), maxStackBytes)]))
+}
--- /dev/null
+++ b/mesh/panics_test.go
@@ -0,0 +1,71 @@
+package mesh
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// conventionStub is a HeaderConvention without headers.
+type conventionStub struct{ HeaderConvention }
+
+func (conventionStub) Names() []string { return nil }
+
+// panickingReader panics when it is read.
+type panickingReader struct{}
+
+func (panickingReader) Read([]byte) (int, error) { panic("in Read") }
+
+// Guards against a panic in a call of a peer that ends the process, and against a process that
+// goes on with state that a panic has left half changed.
+func TestPanicOfPeerCall(t *testing.T) {
+	Convey("Given a daemon and a connection of a peer", t, func() {
+		d := New(Options{HeaderConvention: conventionStub{}})
+		c := &PeerConn{daemon: d, ctx: t.Context(), attempts: make(map[uint64]*localAttempt)}
+		// The attempt lacks what the calls about it need, and the replies are nil.
+		c.attempts[1] = &localAttempt{rest: &exchange{}}
+		calls := []func() error{
+			func() error { return c.Ask(&AskArgs{ID: 2}, nil) },
+			func() error { return c.Run(&RunArgs{ID: 1}, nil) },
+			func() error { return c.Chunk(&ChunkArgs{ID: 1}, nil) },
+			func() error { return c.More(&CallID{ID: 1}, nil) },
+			func() error { return c.Cancel(&CallID{ID: 1}, nil) },
+		}
+		Convey("a panic ends the call with an error", func() {
+			for _, call := range calls {
+				So(call(), ShouldEqual, errPanicked)
+			}
+		})
+		Convey("a panic releases the slot of its attempt", func() {
+			a := &localAttempt{cancel: func() {}} // without a context
+			So(func() { d.ask(a, &AskArgs{Left: time.Second, UntilObjective: time.Second}) }, ShouldPanic)
+			So(a.id, ShouldBeGreaterThan, 0)
+			So(d.limiter.Load().Running, ShouldEqual, 0)
+		})
+		Convey("a panic while a long body is written ends the exchange with an error", func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer l.Close()
+			d.backend.address = l.Addr().String()
+			req, err := http.NewRequest(http.MethodPut, "http://h/", io.MultiReader(panickingReader{}))
+			So(err, ShouldBeNil)
+			req.ContentLength = -1
+			_, sent, err := d.backend.roundTrip(t.Context(), t.Context(), req)
+			So(err, ShouldNotBeNil)
+			So(sent, ShouldBeTrue)
+		})
+		Convey("a panic of code that holds the mutex is not recovered, and the mutex is unlocked", func() {
+			So(func() {
+				defer d.recoverPanic(panicPeer, new(string), func() {})
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				panic("half changed")
+			}, ShouldPanicWith, "half changed")
+			So(d.mu.TryLock(), ShouldBeTrue)
+		})
+	})
+}
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -96,7 +96,8 @@
 }
 
 // Ask serves a request for a slot.
-func (c *PeerConn) Ask(args *AskArgs, reply *Reply) error {
+func (c *PeerConn) Ask(args *AskArgs, reply *Reply) (err error) {
+	defer c.recoverCall(args.ID, &err)
 	a, ok := c.addAttempt(args.ID)
 	if !ok {
 		return errors.Errorf("attempt %d exists", args.ID)
@@ -109,7 +110,8 @@
 }
 
 // Run serves a request for which a slot was granted.
-func (c *PeerConn) Run(args *RunArgs, reply *Reply) error {
+func (c *PeerConn) Run(args *RunArgs, reply *Reply) (err error) {
+	defer c.recoverCall(args.ID, &err)
 	a := c.findAttempt(args.ID)
 	if a == nil || !a.claim() {
 		*reply = Reply{Outcome: OutcomeUnsent, Reason: "grant_expired"}
@@ -124,7 +126,8 @@
 
 // Chunk serves a further part of a request's body. It returns after the part has been passed to
 // the backend server.
-func (c *PeerConn) Chunk(args *ChunkArgs, reply *PingReply) error {
+func (c *PeerConn) Chunk(args *ChunkArgs, reply *PingReply) (err error) {
+	defer c.recoverCall(args.ID, &err)
 	a := c.findAttempt(args.ID)
 	if a == nil {
 		return errors.Errorf("no attempt %d", args.ID)
@@ -134,6 +137,7 @@
 
 // More serves a further part of an answer's body.
 func (c *PeerConn) More(args *CallID, reply *MoreReply) (err error) {
+	defer c.recoverCall(args.ID, &err)
 	a := c.findAttempt(args.ID)
 	if a == nil {
 		return errors.Errorf("no attempt %d", args.ID)
@@ -146,7 +150,8 @@
 }
 
 // Cancel ends an attempt whose outcome is not needed, usually because its caller has left.
-func (c *PeerConn) Cancel(args *CallID, reply *PingReply) error {
+func (c *PeerConn) Cancel(args *CallID, reply *PingReply) (err error) {
+	defer c.recoverCall(args.ID, &err)
 	if a := c.findAttempt(args.ID); a != nil && a.claim() {
 		c.daemon.withdrawGrant(a, "canceled")
 	}
