Mesh: remove an attempt whose granted slot was not used in time

Ruled out: the error paths of readAnswer and more that do not call stopRun. Change: the timer also removes the attempt.

--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -300,7 +300,7 @@
 
 // attemptLocal attempts the request at the local backend server.
 func (c *callerRequest) attemptLocal(ask *AskArgs) (Reply, *pendingAnswer) {
-	a := newLocalAttempt(c.r.Context())
+	a := newLocalAttempt(c.r.Context(), nil) // runs as soon as it has a slot
 	ask.Payload = c.payload()
 	c.sendRest(a.ctx, a.writeChunk, a.abandon)
 	reply := c.daemon.ask(a, ask)
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -45,6 +45,8 @@
 	// releaseTimer releases a granted slot that is not used. It is atomic because the grant
 	// may be withdrawn while it is being set.
 	releaseTimer atomic.Pointer[time.Timer]
+	// onExpiry is called when a granted slot has not been used in time.
+	onExpiry func()
 	// rest is the exchange of a long answer that has not been passed on completely.
 	rest *exchange
 	// body receives the further parts of a long request once bodyReady is closed.
@@ -52,8 +54,8 @@
 	bodyReady chan struct{}
 }
 
-func newLocalAttempt(ctx context.Context) *localAttempt {
-	a := &localAttempt{bodyReady: make(chan struct{})}
+func newLocalAttempt(ctx context.Context, onExpiry func()) *localAttempt {
+	a := &localAttempt{bodyReady: make(chan struct{}), onExpiry: onExpiry}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	return a
 }
@@ -84,7 +86,10 @@
 		d.withdrawGrant(a, "time_over")
 		return d.reply(a, OutcomeUnsent, decision)
 	case args.Payload == nil:
-		a.releaseTimer.Store(time.AfterFunc(grantTimeout, func() { d.withdrawGrant(a, "grant_unused") }))
+		a.releaseTimer.Store(time.AfterFunc(grantTimeout, func() {
+			d.withdrawGrant(a, "grant_unused")
+			a.onExpiry()
+		}))
 		return d.reply(a, OutcomeGranted, decision)
 	}
 	return d.run(a, args.Payload, time.Until(deadline))
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -74,7 +74,7 @@
 	if c.attempts[id] != nil {
 		return nil, false
 	}
-	a := newLocalAttempt(c.ctx)
+	a := newLocalAttempt(c.ctx, func() { c.removeAttempt(id) })
 	c.attempts[id] = a
 	return a, true
 }
