Mesh: a dial that ends with its request is no failure of the backend server

Cause: any error of opening a connection was taken for a backend server that accepts none, also when the request's time had ended or its caller had left. The run counted as failed in the load that other daemons use to choose, and at the time limit the upstream was avoided. Change: such a dial returns the error of the request's context, and the slot is released without an outcome, since nothing was sent.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -208,9 +208,12 @@
 		b.count("stale")
 		_ = c.Close()
 	}
-	ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, backendDialTimeout)
 	defer cancel()
-	raw, err := b.dial(ctx, "tcp", b.address)
+	raw, err := b.dial(dialCtx, "tcp", b.address)
+	if err != nil && ctx.Err() != nil {
+		return nil, ctx.Err() // says nothing about the backend server
+	}
 	if err != nil {
 		return nil, errors.Wrap(errBackendDown, err.Error())
 	}
--- a/mesh/grant_test.go
+++ b/mesh/grant_test.go
@@ -29,7 +29,7 @@
 			So(err, ShouldNotBeNil)
 			So(c.Run(&RunArgs{ID: 1}, &reply), ShouldBeNil)
 			So(reply.Outcome, ShouldEqual, OutcomeUnsent)
-			So(d.limiter.Load().Running, ShouldEqual, 0)
+			So(d.load().Running, ShouldEqual, 0)
 		})
 	})
 }
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -326,7 +326,11 @@
 
 // replyWithoutAnswer returns the reply to a request that has no usable answer.
 func (d *Daemon) replyWithoutAnswer(ctx context.Context, a *localAttempt, sent bool, started time.Time, err error) Reply {
-	d.releaseSlot(a, slots.Outcome{Failed: true})
+	if !sent && !errors.Is(err, errBackendDown) {
+		d.dropSlot(a)
+	} else {
+		d.releaseSlot(a, slots.Outcome{Failed: true})
+	}
 	outcome, reason := OutcomeLost, "no_answer"
 	switch {
 	case !sent && errors.Is(err, errBackendDown):
--- a/mesh/panics_test.go
+++ b/mesh/panics_test.go
@@ -15,6 +15,8 @@
 
 func (conventionStub) Names() []string { return nil }
 
+func (conventionStub) Prepare(http.Header, UpstreamHead) {}
+
 // panickingReader panics when it is read.
 type panickingReader struct{}
 
