Dispatch: count an attempt's end at the incarnation that it was made at

Cause: the end of an attempt was recorded at the state kept under the upstream's ID. After a restart under the same ID this is the state of the new incarnation: it lost the count of an attempt under way, was avoided and counted a failure of its predecessor. Without any state, the attempt was not counted for the request, which could then exceed maxAttempts. Ruled out: Next; a new incarnation starts with an empty state there. Change: the request remembers the incarnation; the end of an attempt at another one counts for the request only.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -157,7 +157,7 @@
 	s, free := d.choose(now, req, usable)
 	req.mayQueue = req.mayQueue || !free
 	req.asked++
-	req.target = s.upstream.ID
+	req.target, req.incarnation = s.upstream.ID, s.upstream.Incarnation
 	age := s.loadAge(now)
 	s.inFlight++
 	s.attemptsSinceLoad++
@@ -311,12 +311,18 @@
 	return d.afterFailure(now, req, s, report)
 }
 
+// attemptState returns the state of the upstream of the latest attempt. If another incarnation has
+// replaced that upstream, it returns a state that is not kept.
+func (d *Dispatcher) attemptState(req *OutgoingRequest) *upstreamState {
+	if s := d.states[req.target]; s != nil && s.upstream.Incarnation == req.incarnation {
+		return s
+	}
+	return &upstreamState{}
+}
+
 // recordOutcome updates the state of the upstream and of the request after an attempt.
 func (d *Dispatcher) recordOutcome(now time.Time, req *OutgoingRequest, report Report) *upstreamState {
-	s := d.states[req.target]
-	if s == nil {
-		return &upstreamState{}
-	}
+	s := d.attemptState(req)
 	s.inFlight = max(s.inFlight-1, 0)
 	if report.HasLoad {
 		s.recordLoad(now, report.Load)
@@ -408,7 +414,6 @@
 
 // Abandon ends a request whose caller has disconnected while an attempt was under way.
 func (d *Dispatcher) Abandon(req *OutgoingRequest) {
-	if s := d.states[req.target]; s != nil {
-		s.inFlight = max(s.inFlight-1, 0)
-	}
+	s := d.attemptState(req)
+	s.inFlight = max(s.inFlight-1, 0)
 }
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -229,3 +229,39 @@
 		So(askedAgain, ShouldBeGreaterThan, 0)
 	})
 }
+
+// Guards against an attempt at an earlier incarnation of an upstream that is counted at the next
+// one: as its end, as a missing reply, or not at all for the request.
+func TestAttemptAtEarlierIncarnation(t *testing.T) {
+	Convey("Given an attempt at an upstream that has started again since, with one under way there", t, func() {
+		d, dir := fleet(1)
+		earlier := open(d, true)
+		first := d.Next(start, earlier).Upstream
+		next := first
+		next.Incarnation++
+		dir.Put(next)
+		later := open(d, true)
+		So(d.Next(start, later).Upstream.Incarnation, ShouldEqual, next.Incarnation)
+		state := d.states[first.ID]
+		Convey("its loss counts for the request only", func() {
+			So(d.Report(start, earlier, Report{Result: Lost, Retryable: true}).Code, ShouldEqual, resultcode.AttemptLost)
+			So(earlier.Sent(), ShouldEqual, 1)
+			So(state.inFlight, ShouldEqual, 1)
+			So(state.avoided(start), ShouldBeFalse)
+			So(state.failing, ShouldEqual, 0)
+		})
+		Convey("its abandonment does not end the other attempt", func() {
+			d.Abandon(earlier)
+			So(state.inFlight, ShouldEqual, 1)
+			d.Abandon(later)
+			So(state.inFlight, ShouldEqual, 0)
+		})
+		Convey("it counts for the request when nothing is known of the upstream any more", func() {
+			d.Abandon(later)
+			dir.Remove(start, first.ID)
+			d.Prune()
+			d.Report(start, earlier, Report{Result: Lost, Retryable: true})
+			So(earlier.Sent(), ShouldEqual, 1)
+		})
+	})
+}
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -21,10 +21,12 @@
 
 	tried      map[string]bool // upstreams that were asked and did not grant a slot
 	mayHaveRun map[string]bool // upstreams that may have begun to run it
-	target     string          // upstream of the latest attempt
-	asked      int
-	sent       int
-	lost       bool // an attempt may have run without a known outcome
+	// target and incarnation identify the upstream of the latest attempt.
+	target      string
+	incarnation int64
+	asked       int
+	sent        int
+	lost        bool // an attempt may have run without a known outcome
 	// refusals counts upstreams that refused for load. mayQueue allows the next one to queue
 	// the request.
 	refusals int
