Dispatch: take a retry from the budget only when it is made

Cause: mayRetry took one retry from the budget before the next upstream was chosen. If none was left, nothing was sent again, and later requests found the budget spent. Ruled out: retries that the next upstream refuses; they count as before. Change: the budget is checked first and charged after an upstream has been chosen. Figures: TestBudgetWithoutUpstream: after 100 failures without another upstream a later failure was not retried before; it is now.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -379,6 +379,7 @@
 	reason, allowed := d.mayRetry(now, req, report)
 	if allowed {
 		if step := d.Next(now, req); step.Code == 0 {
+			d.budget(req.Service).Charge(now, 1)
 			step.Reason = reason
 			return step
 		}
@@ -406,7 +407,7 @@
 		return "attempts_spent", false
 	case left < d.averageLatency[req.Route.Name]:
 		return "time_left", false
-	case !d.budget(req.Service).Allow(now):
+	case !d.budget(req.Service).Available(now):
 		return "budget_spent", false
 	}
 	return "repeat", true
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -120,6 +120,24 @@
 	})
 }
 
+// Guards against a budget that is spent on retries that are not made.
+func TestBudgetWithoutUpstream(t *testing.T) {
+	Convey("Failures without another upstream leave the budget to later requests", t, func() {
+		d, dir := fleet(1)
+		for range 100 {
+			req := open(d, true)
+			d.Next(start, req)
+			So(d.Report(start, req, Report{Result: Failed, Retryable: true}).Deliver, ShouldBeTrue)
+		}
+		dir.Put(directory.Upstream{ID: "u1", Service: "s", Address: "1:1", Zone: "a", Slots: 10})
+		req := open(d, true)
+		first := d.Next(start, req).Upstream.ID
+		step := d.Report(start, req, Report{Result: Failed, Retryable: true})
+		So(step.Deliver, ShouldBeFalse)
+		So(step.Upstream.ID, ShouldNotEqual, first)
+	})
+}
+
 // Guards against traffic between zones while the own zone has free slots, and against staying
 // in the own zone when it has none.
 func TestZones(t *testing.T) {
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -42,6 +42,15 @@
 
 // Allow takes one retry from the budget and reports whether one was available.
 func (b *WindowBudget) Allow(now time.Time) bool {
+	if !b.Available(now) {
+		return false
+	}
+	b.Charge(now, 1)
+	return true
+}
+
+// Available reports whether the budget allows one more retry.
+func (b *WindowBudget) Available(now time.Time) bool {
 	current := b.bucketAt(now)
 	requests, retries := 0.0, 0.0
 	for i := range b.buckets {
@@ -50,11 +59,7 @@
 			retries += b.buckets[i].retries
 		}
 	}
-	if retries+1 > b.ratio*requests+b.slack {
-		return false
-	}
-	current.retries++
-	return true
+	return retries+1 <= b.ratio*requests+b.slack
 }
 
 func (b *WindowBudget) bucketAt(now time.Time) *windowBucket {
