--- a/mesh/local.go
+++ b/mesh/local.go
@@ -45,6 +45,8 @@
 	// releaseTimer releases a granted slot that is not used. It is atomic because the grant
 	// may be withdrawn while it is being set.
 	releaseTimer atomic.Pointer[time.Timer]
+	// onExpiry is called when a granted slot has not been used in time.
+	onExpiry func()
 	// rest is the exchange of a long answer that has not been passed on completely.
 	rest *exchange
 	// body receives the further parts of a long request once bodyReady is closed.
@@ -52,8 +54,8 @@
 	bodyReady chan struct{}
 }
 
-func newLocalAttempt(ctx context.Context) *localAttempt {
-	a := &localAttempt{bodyReady: make(chan struct{})}
+func newLocalAttempt(ctx context.Context, onExpiry func()) *localAttempt {
+	a := &localAttempt{bodyReady: make(chan struct{}), onExpiry: onExpiry}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	return a
 }
@@ -61,6 +63,7 @@
 // ask requests a slot from the limiter and, if the request itself came with args, runs it.
 // The attempt ends with its context.
 func (d *Daemon) ask(a *localAttempt, args *AskArgs) Reply {
+	defer d.releaseOnPanic(a)
 	a.requestID, a.instance, a.kind, a.origin, a.isRetry = args.RequestID, args.Instance, args.Kind, args.CallerService, args.Repeat
 	asked := time.Now()
 	deadline := asked.Add(args.Left)
@@ -83,7 +86,10 @@
 		d.withdrawGrant(a, "time_over")
 		return d.reply(a, OutcomeUnsent, decision)
 	case args.Payload == nil:
-		a.releaseTimer.Store(time.AfterFunc(grantTimeout, func() { d.withdrawGrant(a, "grant_unused") }))
+		a.releaseTimer.Store(time.AfterFunc(grantTimeout, func() {
+			d.withdrawGrant(a, "grant_unused")
+			a.onExpiry()
+		}))
 		return d.reply(a, OutcomeGranted, decision)
 	}
 	return d.run(a, args.Payload, time.Until(deadline))
@@ -236,7 +242,7 @@
 	d.countRetryRun(a, 1)
 	go func() {
 		defer d.countRetryRun(a, -1)
-		replies <- d.exchange(ctx, graceCtx, a, payload, left)
+		replies <- d.tryExchange(ctx, graceCtx, a, payload, left)
 	}()
 	timer := time.NewTimer(left)
 	defer timer.Stop()
@@ -258,6 +264,16 @@
 	return average > 0 && average < exchangeGrace
 }
 
+// tryExchange is exchange, with the reply that the outcome is unknown after a panic.
+func (d *Daemon) tryExchange(ctx, graceCtx context.Context, a *localAttempt, payload *Payload, left time.Duration) (r Reply) {
+	defer d.recoverPanic(panicExchange, &a.requestID, func() {
+		a.stopRun()
+		d.releaseSlot(a, slots.Outcome{Failed: true})
+		r = d.reply(a, OutcomeLost, slots.Decision{Reason: "panic"})
+	})
+	return d.exchange(ctx, graceCtx, a, payload, left)
+}
+
 // exchange sends the request and reads the first part of the answer. Nothing is sent after
 // ctx has ended; the connection is closed when graceCtx ends.
 func (d *Daemon) exchange(ctx, graceCtx context.Context, a *localAttempt, payload *Payload, left time.Duration) Reply {
@@ -310,7 +326,11 @@
 
 // replyWithoutAnswer returns the reply to a request that has no usable answer.
 func (d *Daemon) replyWithoutAnswer(ctx context.Context, a *localAttempt, sent bool, started time.Time, err error) Reply {
-	d.releaseSlot(a, slots.Outcome{Failed: true})
+	if !sent && !errors.Is(err, errBackendDown) {
+		d.dropSlot(a)
+	} else {
+		d.releaseSlot(a, slots.Outcome{Failed: true})
+	}
 	outcome, reason := OutcomeLost, "no_answer"
 	switch {
 	case !sent && errors.Is(err, errBackendDown):
