Take a list of VMs as proof only if it names this VM alone

Cause: after a pause a home refuses new keys until a peer or the list of VMs, asked after the pause, has answered. Any list resumed them, also one that names another VM for the place, which the platform started during the pause, or that no longer names the place. Trace of one run of the cell that failed: the pause was detected at 3.080 s, the list that names only the replacement was merged, the call that had waited in the socket got Run under a key that the replacement had run at 3.040 s; the answer of the peer that names the later incarnation was merged after that. Ruled out: a pause that is not detected (it is, in the trace, before the call); an answer to a question from before the pause (the list was asked for at 3.080 s). Change: a list resumes new keys only if it names this VM as live and no other live VM for the place. Peers are asked as before.

--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -40,6 +40,7 @@
 	leavingMarks expiringSet[uuid.UUID] // leaving incarnations for which no record is held
 	laterSelf    Record                 // latest later incarnation of self; zero if none
 	listSize     int
+	listedAlone  bool   // see ListedAlone
 	sendCount    uint64 // records returned by RecordsForDigest
 }
 
@@ -95,6 +96,7 @@
 // MergeList merges a complete list of VMs from the platform.
 func (v *View) MergeList(now time.Time, list []Record) {
 	v.advance(now)
+	v.listedAlone = v.namesOnlySelf(list)
 	latest := latestByName(list)
 	v.listSize = len(latest)
 	latest = v.resolveIncarnations(latest)
@@ -116,6 +118,25 @@
 	v.Expire(now)
 }
 
+// ListedAlone reports whether the last list of VMs named the VM of this daemon as live
+// and no other live VM for its upstream. A list that names another one, or none, does
+// not show that the daemon was not replaced.
+func (v *View) ListedAlone() bool { return v.listedAlone }
+
+func (v *View) namesOnlySelf(list []Record) bool {
+	listed := false
+	for _, r := range list {
+		if r.Name != v.self.Name || r.State != Live {
+			continue
+		}
+		if r.PeerAddress != v.self.PeerAddress || r.Incarnation != uuid.Nil && r.Incarnation != v.self.Incarnation {
+			return false
+		}
+		listed = true
+	}
+	return listed
+}
+
 // latestByName returns the latest incarnation of each upstream. A lagging list can
 // hold a VM together with its replacement.
 func latestByName(list []Record) map[string]Record {
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -170,11 +170,19 @@
 	n.resumeAfterPause(now)
 }
 
-// ConfirmIncarnation resumes new keys after a pause. It is called when the answer to a
-// digest or to a read of the list of VMs, sent at the time asked, has been merged.
-// Anything sent before the end of the latest pause is ignored: its answer does not
-// show whether this daemon was replaced meanwhile.
+// ConfirmIncarnation resumes new keys after a pause if the list of VMs that was merged
+// last, and was asked for at the given time, names this VM and no other for the
+// upstream of this daemon.
 func (n *Node) ConfirmIncarnation(asked time.Time) {
+	if n.view.ListedAlone() {
+		n.confirmIncarnation(asked)
+	}
+}
+
+// confirmIncarnation resumes new keys after a pause. An answer to what was asked before
+// the end of the latest pause is ignored: it does not show whether this daemon was
+// replaced meanwhile.
+func (n *Node) confirmIncarnation(asked time.Time) {
 	if !asked.Before(n.resumedAt) {
 		n.table.ResumeNewKeys()
 	}
