pipeline: close connections that are accepted while the server closes

Cause: Close took the list of connections once. A connection that Serve registered after that was never closed, and Close did not wait for it. Ruled out: nothing. Change: after Close has begun, Serve closes what it accepts without reading it.

--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -47,6 +47,7 @@
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	stopping bool
+	closed   bool
 	handlers sync.WaitGroup
 }
 
@@ -73,6 +74,11 @@
 	c.writer = bufio.NewWriterSize(netConn, 4<<10)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		cancel()
+		_ = netConn.Close()
+		return
+	}
 	if s.conns == nil {
 		s.conns = make(map[*conn]bool)
 	}
@@ -122,9 +128,12 @@
 	}
 }
 
-// Close closes all connections and waits until their handlers have returned. It does not
-// stop Serve, so the listener must be closed first.
+// Close closes all connections and waits until their handlers have returned. It does not stop
+// Serve, which closes each connection that it still accepts.
 func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	for _, c := range s.openConns() {
 		c.close()
 	}
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -96,3 +96,35 @@
 		So(closed, ShouldBeTrue)
 	})
 }
+
+// queueListener returns the connections of a channel.
+type queueListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (l queueListener) Accept() (net.Conn, error) {
+	if c, ok := <-l.conns; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Guards against a connection that stays open because it was accepted while the server closed.
+func TestConnectionAcceptedDuringClose(t *testing.T) {
+	Convey("A connection that is accepted after Close has begun is closed", t, func() {
+		h := &recorder{}
+		s := &Server{Handler: h, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
+		l := queueListener{conns: make(chan net.Conn)}
+		go func() { _ = s.Serve(l) }()
+		defer close(l.conns)
+		s.Close()
+		caller, accepted := net.Pipe()
+		l.conns <- accepted
+		_ = caller.SetDeadline(time.Now().Add(time.Second))
+		_, err := caller.Read(make([]byte, 1))
+		So(err, ShouldEqual, io.EOF)
+		So(h.list(), ShouldBeEmpty)
+	})
+}
