mesh: drain the callers' connections before a stop closes them

Cause: Close followed CloseIdle at once. Requests that were read in between were dropped, and connections that waited for their caller to receive the last answer were closed early: one more request of the caller reset them, and the rest of the answer was lost. Ruled out: with the drain in place, a stop under callers that never pause did not become idle within the grace time, because every refusal counted as unfinished. Only requests that were read before the end of the accepting time count now. Change: when the daemon is idle, or after 5/6 of the grace time, it closes the listener of callers and drains their connections until shutdownShare: each closes when no request on it is read, handled or answered, and lingers for at most 1 s after its last response. Drain replaces CloseIdle. A request that crosses the close of an idle connection is not read.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,23 +29,29 @@
 	exchangeEnded chan struct{} // receives a value when an exchange has ended
 
 	mu       sync.Mutex
-	latest   *exchange // of the latest request
-	inFlight int
-	awaiting bool // the first byte of the next request is awaited
-	retiring bool // the connection is closed when it is idle
-	closing  bool // no further response may be written
+	latest   *exchange   // of the latest request
+	inFlight []*exchange // those whose response has not been written
+	awaiting bool        // the first byte of the next request is awaited
+	retiring bool        // the connection is closed when it is idle
+	closing  bool        // no further response may be written
+	ended    time.Time   // when the latest exchange ended
 }
 
 // exchange is a request and its response.
 type exchange struct {
 	conn    *conn
 	request *http.Request
+	begun   time.Time
 	// previous is closed when all earlier responses have been written, done when this one has.
 	previous, done chan struct{}
 }
 
-// errHeaderTooLarge is the error of a header that exceeds Limits.HeaderBytes.
-var errHeaderTooLarge = errors.New("request header exceeds the limit")
+var (
+	// errHeaderTooLarge is the error of a header that exceeds Limits.HeaderBytes.
+	errHeaderTooLarge = errors.New("request header exceeds the limit")
+	// errRetiring is returned instead of a request when the connection is to be closed.
+	errRetiring = errors.New("connection is closed by the server")
+)
 
 // limitedReader bounds the bytes that are read from a connection while active is set.
 type limitedReader struct {
@@ -76,6 +83,9 @@
 	defer c.cancel()
 	for c.awaitCapacity() {
 		r, err := c.readRequest()
+		if errors.Is(err, errRetiring) {
+			break
+		}
 		if err != nil {
 			c.reject(err)
 			return
@@ -92,7 +102,7 @@
 func (c *conn) awaitCapacity() bool {
 	for {
 		c.mu.Lock()
-		full, closing := c.inFlight >= maxInFlight, c.closing
+		full, closing := len(c.inFlight) >= maxInFlight, c.closing
 		c.mu.Unlock()
 		if closing || c.ctx.Err() != nil {
 			return false
@@ -143,7 +153,7 @@
 			return io.EOF // closed, failed or idle: no response is due
 		}
 	}
-	return io.EOF
+	return errRetiring
 }
 
 // beginWait sets the deadline for the first byte of the next request. It reports false if the
@@ -151,7 +161,7 @@
 func (c *conn) beginWait(idle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retiring && c.inFlight == 0 && c.reader.Buffered() == 0 {
+	if c.retiring && len(c.inFlight) == 0 && c.reader.Buffered() == 0 {
 		return false
 	}
 	deadline := time.Time{}
@@ -175,7 +185,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.retiring = true
-	if c.awaiting && c.inFlight == 0 {
+	if c.awaiting && len(c.inFlight) == 0 {
 		_ = c.netConn.SetReadDeadline(time.Now())
 	}
 }
@@ -189,14 +199,14 @@
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inFlight > 0
+	return len(c.inFlight) > 0
 }
 
-// isIdle reports whether no request is being read, and all responses have been written.
-func (c *conn) isIdle() bool {
+// finished reports whether the responses of all requests read before t have been written.
+func (c *conn) finished(t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inFlight == 0 && c.awaiting
+	return !slices.ContainsFunc(c.inFlight, func(ex *exchange) bool { return ex.begun.Before(t) })
 }
 
 func (c *conn) isClosing() bool {
@@ -254,22 +264,23 @@
 }
 
 func (c *conn) beginExchange(r *http.Request) *exchange {
-	ex := &exchange{conn: c, request: r, done: make(chan struct{})}
+	ex := &exchange{conn: c, request: r, begun: time.Now(), done: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.latest != nil {
 		ex.previous = c.latest.done
 	}
 	c.latest = ex
-	c.inFlight++
+	c.inFlight = append(c.inFlight, ex)
 	return ex
 }
 
 func (ex *exchange) end() {
-	close(ex.done)
 	ex.conn.mu.Lock()
-	ex.conn.inFlight--
+	ex.conn.inFlight = slices.DeleteFunc(ex.conn.inFlight, func(other *exchange) bool { return other == ex })
+	ex.conn.ended = time.Now()
 	ex.conn.mu.Unlock()
+	close(ex.done)
 	select {
 	case ex.conn.exchangeEnded <- struct{}{}:
 	default:
@@ -417,7 +428,7 @@
 }
 
 // linger waits for the last response, closes the sending direction and discards what the
-// caller sends for up to lingerTime.
+// caller sends until lingerTime after that response.
 func (c *conn) linger() {
 	c.mu.Lock()
 	latest := c.latest
@@ -428,7 +439,10 @@
 	if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
 		_ = tcp.CloseWrite()
 	}
-	_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTime))
+	c.mu.Lock()
+	deadline := c.ended.Add(lingerTime)
+	c.mu.Unlock()
+	_ = c.netConn.SetReadDeadline(deadline)
 	_, _ = io.Copy(io.Discard, c.netConn)
 }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	lingerTime = time.Second
 	// bodyTimeout bounds each wait for further bytes of a body.
 	bodyTimeout = 10 * time.Second
+	// drainInterval is how often Drain closes the connections that have become idle.
+	drainInterval = 5 * time.Millisecond
 )
 
 // Limits bound the requests of callers. Zero means no bound.
@@ -34,7 +37,7 @@
 }
 
 // Server serves HTTP/1.1 connections. All fields must be set before Serve is called.
-// Stop, Idle, CloseIdle and Close may be called while Serve is running.
+// Stop, Finished, Drain and Close may be called while Serve is running.
 type Server struct {
 	// Handler handles the requests, those of one connection concurrently. It may panic with
 	// http.ErrAbortHandler to close the connection without a response.
@@ -110,22 +113,33 @@
 	return s.stopping
 }
 
-// Idle reports whether no request is being read, handled or answered.
-func (s *Server) Idle() bool {
-	for _, c := range s.openConns() {
-		if !c.isIdle() {
-			return false
+// Finished reports whether all requests that were read before t have been answered, and their
+// responses written. Later ones, which may be refusals without an end, do not count.
+func (s *Server) Finished(t time.Time) bool {
+	return !slices.ContainsFunc(s.openConns(), func(c *conn) bool { return !c.finished(t) })
+}
+
+// Drain closes each connection as soon as no request on it is being read, handled or answered,
+// and waits until all are closed or the deadline is over. It does not stop Serve, so the
+// listener must be closed first.
+func (s *Server) Drain(deadline time.Time) {
+	for !s.closeIfUnused() {
+		for _, c := range s.openConns() {
+			c.retire()
+		}
+		if !time.Now().Before(deadline) {
+			return
 		}
+		time.Sleep(drainInterval)
 	}
-	return true
 }
 
-// CloseIdle closes the connections on which no request is being read or handled, also those on
-// which the last one ends later.
-func (s *Server) CloseIdle() {
-	for _, c := range s.openConns() {
-		c.retire()
-	}
+// closeIfUnused makes Serve close the connections that it still accepts, if none is open.
+func (s *Server) closeIfUnused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = s.closed || len(s.conns) == 0
+	return s.closed
 }
 
 // Close closes all connections and waits until their handlers have returned. It does not stop
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -184,7 +184,7 @@
 		So(responses, ShouldResemble, []string{"408 "})
 		So(closed, ShouldBeTrue)
 	})
-	Convey("A stopping server closes connections after the next response, and idle ones on CloseIdle", t, func() {
+	Convey("A stopping server closes connections after the next response, and idle ones on Drain", t, func() {
 		address, s := startServer(t, &recorder{}, Limits{})
 		idle, err := net.Dial("tcp", address)
 		So(err, ShouldBeNil)
@@ -194,7 +194,7 @@
 		responses, closed := sendRaw(t, address, "GET /a"+versionAndHost+"\r\n")
 		So(responses, ShouldResemble, []string{"200 /a "})
 		So(closed, ShouldBeTrue)
-		s.CloseIdle()
+		s.Drain(time.Now())
 		_ = idle.SetReadDeadline(time.Now().Add(time.Second))
 		_, err = idle.Read(make([]byte, 1))
 		So(err, ShouldEqual, io.EOF)
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -87,7 +87,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		s := &Server{Handler: &recorder{}, Limits: func() Limits { return Limits{IdleTimeout: time.Second} }, Reject: func(net.Addr, int, error) {}}
-		go func() { _ = s.Serve(hookListener{l, s.CloseIdle}) }()
+		go func() { _ = s.Serve(hookListener{l, func() { s.Drain(time.Now()) }}) }()
 		defer s.Close()
 		defer l.Close()
 		s.Stop()
@@ -97,6 +97,46 @@
 	})
 }
 
+// Guards against an answer that is lost because its connection is reset: the caller has not
+// received all of it, and sends a further request that is not read.
+func TestStopDoesNotResetConnections(t *testing.T) {
+	Convey("An answer that is still on its way when the server stops arrives completely", t, func() {
+		const size = 512 << 10
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+			_, _ = w.Write(make([]byte, size))
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Handler: handler, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
+		go func() { _ = s.Serve(l) }()
+		s.Stop()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		So(c.(*net.TCPConn).SetReadBuffer(64<<10), ShouldBeNil)
+		_, _ = io.WriteString(c, "GET /a"+versionAndHost+"\r\n")
+		time.Sleep(100 * time.Millisecond)
+		So(s.Finished(time.Now()), ShouldBeTrue)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			_ = l.Close()
+			s.Drain(time.Now().Add(3 * time.Second))
+			s.Close()
+		}()
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, "GET /b"+versionAndHost+"\r\n")
+		time.Sleep(100 * time.Millisecond)
+		bodies, closed := readAll(c)
+		So(bodies, ShouldHaveLength, 1)
+		So(len(bodies[0]), ShouldEqual, size)
+		So(closed, ShouldBeTrue)
+		_ = c.Close()
+		<-stopped
+	})
+}
+
 // queueListener returns the connections of a channel.
 type queueListener struct {
 	net.Listener
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -32,6 +32,9 @@
 	initialSlots = 8
 	// maxHeaderBytes limits a request's header unless the configuration sets a limit.
 	maxHeaderBytes = 64 << 10
+	// drainShare is the share of the grace time after which a stopping daemon accepts no more
+	// connections of callers and closes the open ones as they become idle.
+	drainShare = 5.0 / 6
 	// shutdownShare is the share of the grace time after which a stopping daemon aborts the
 	// requests in flight; the rest is left for the process to exit.
 	shutdownShare = 0.9
@@ -128,6 +131,8 @@
 	callers   pipeline.Server
 	servers   []*http.Server
 	listeners []net.Listener
+	// callerListener is the one of listeners that accepts the connections of callers.
+	callerListener net.Listener
 }
 
 // New returns a daemon with the given options. Start opens its listeners.
@@ -228,6 +233,7 @@
 	if err != nil {
 		return err
 	}
+	d.callerListener = l
 	d.callers.Handler = http.HandlerFunc(d.serveCaller)
 	d.callers.Limits = d.callerLimits
 	d.callers.Reject = func(remote net.Addr, status int, err error) {
@@ -337,32 +343,37 @@
 
 // Shutdown stops the daemon gracefully. It refuses new requests of other daemons, accepts those
 // of callers for acceptShare of the grace time, and closes each caller's connection after its
-// next answer. It closes the daemon when it is idle, or after shutdownShare of the grace time.
+// next answer. When the daemon is idle, or after drainShare of the grace time, it closes the
+// connections of callers as they become idle, and after shutdownShare of the grace time the
+// others.
 func (d *Daemon) Shutdown() {
 	started := time.Now()
 	d.mu.Lock()
 	grace := d.grace
 	d.stopping = true
-	d.acceptUntil = started.Add(time.Duration(acceptShare * float64(grace)))
+	acceptUntil := started.Add(time.Duration(acceptShare * float64(grace)))
+	d.acceptUntil = acceptUntil
 	d.limiter.Close()
 	d.mu.Unlock()
 	d.callers.Stop()
 	d.log.Info(eventStopping, zap.Duration("grace", grace))
-	cutoff := started.Add(time.Duration(shutdownShare * float64(grace)))
-	for now := started; now.Before(cutoff); now = time.Now() {
-		if !now.Before(d.acceptUntil) && d.idle() {
+	drainAt := started.Add(time.Duration(drainShare * float64(grace)))
+	for now := started; now.Before(drainAt); now = time.Now() {
+		if !now.Before(acceptUntil) && d.idle(acceptUntil) {
 			break
 		}
 		time.Sleep(tickInterval)
 	}
-	d.callers.CloseIdle()
-	d.log.Info(eventStopped, zap.Bool("idle", d.idle()), zap.Duration("after", time.Since(started)))
+	_ = d.callerListener.Close()
+	d.callers.Drain(started.Add(time.Duration(shutdownShare * float64(grace))))
+	d.log.Info(eventStopped, zap.Bool("idle", d.idle(time.Now())), zap.Duration("after", time.Since(started)))
 	d.Close()
 }
 
-// idle reports whether no exchange with a caller is unfinished and no slot is in use.
-func (d *Daemon) idle() bool {
-	if !d.callers.Idle() {
+// idle reports whether all requests of callers that arrived before t have been answered and no
+// slot is in use.
+func (d *Daemon) idle(t time.Time) bool {
+	if !d.callers.Finished(t) {
 		return false
 	}
 	d.mu.Lock()
