mesh: finish the answers to other daemons at a stop

Cause: a run releases its slot when the first part of its answer has been read, and the daemon counted slots in use. A stop closed the connections to other daemons while a reply was being written, or while the rest of a long answer was still to be fetched. Ruled out: nothing. Change: the daemon counts the attempts of other daemons until their last part has been fetched; grants that expire and connections that end no longer leave an attempt behind. At the close, reading from other daemons ends first, and their connections close when the calls that were read have been answered. A call that crosses the close is still lost; not looked at: replies that are reset because such a call was not read.

--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -93,7 +93,9 @@
 	backend    *backend
 	attempts   atomic.Uint64
 	answers    atomic.Uint64
-	routes     atomic.Pointer[routing.Table]
+	// peerAttempts is the number of attempts of peers that wait, run or have a rest to be fetched.
+	peerAttempts atomic.Int64
+	routes       atomic.Pointer[routing.Table]
 
 	mu               sync.Mutex // guards the fields up to newerPeer
 	dir              *directory.Directory
@@ -358,6 +360,7 @@
 	d.callers.Stop()
 	d.log.Info(eventStopping, zap.Duration("grace", grace))
 	drainAt := started.Add(time.Duration(drainShare * float64(grace)))
+	cutoff := started.Add(time.Duration(shutdownShare * float64(grace)))
 	for now := started; now.Before(drainAt); now = time.Now() {
 		if !now.Before(acceptUntil) && d.idle(acceptUntil) {
 			break
@@ -365,20 +368,18 @@
 		time.Sleep(tickInterval)
 	}
 	_ = d.callerListener.Close()
-	d.callers.Drain(started.Add(time.Duration(shutdownShare * float64(grace))))
+	d.callers.Drain(cutoff)
+	for time.Now().Before(cutoff) && !d.idle(time.Now()) {
+		time.Sleep(tickInterval)
+	}
 	d.log.Info(eventStopped, zap.Bool("idle", d.idle(time.Now())), zap.Duration("after", time.Since(started)))
 	d.Close()
 }
 
-// idle reports whether all requests of callers that arrived before t have been answered and no
-// slot is in use.
+// idle reports whether all requests of callers that arrived before t have been answered, and all
+// attempts of peers have ended. Close still writes the replies to these.
 func (d *Daemon) idle(t time.Time) bool {
-	if !d.callers.Finished(t) {
-		return false
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.limiter.Load().Running == 0
+	return d.callers.Finished(t) && d.peerAttempts.Load() == 0
 }
 
 // Close stops the daemon at once, aborts the requests in flight, and waits for its goroutines.
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -40,6 +40,8 @@
 	cancel context.CancelFunc
 	// stopRun releases the contexts that limit the time of the run.
 	stopRun context.CancelFunc
+	// discard ends an attempt of a peer whose slot was not used in time.
+	discard func()
 	// decisions receives the decision about a queued request.
 	decisions chan slots.Decision
 	// releaseTimer releases a granted slot that is not used. It is atomic because the grant
@@ -83,7 +85,10 @@
 		d.withdrawGrant(a, "time_over")
 		return d.reply(a, OutcomeUnsent, decision)
 	case args.Payload == nil:
-		a.releaseTimer.Store(time.AfterFunc(grantTimeout, func() { d.withdrawGrant(a, "grant_unused") }))
+		a.releaseTimer.Store(time.AfterFunc(grantTimeout, func() {
+			d.withdrawGrant(a, "grant_unused")
+			a.discard()
+		}))
 		return d.reply(a, OutcomeGranted, decision)
 	}
 	return d.run(a, args.Payload, time.Until(deadline))
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -12,6 +15,9 @@
 // peerService is the name of the net/rpc service through which daemons call each other.
 const peerService = "Peer"
 
+// peerCloseTimeout bounds the time for writing the last replies to a peer when the daemon closes.
+const peerCloseTimeout = 300 * time.Millisecond
+
 // PeerConn serves one connection of another daemon over net/rpc. The attempts that were made
 // over a connection are cancelled when it ends. Its methods are safe for concurrent use.
 type PeerConn struct {
@@ -39,9 +45,14 @@
 func (d *Daemon) servePeer(c net.Conn) {
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
-	stop := context.AfterFunc(d.ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(d.ctx, func() {
+		// Ends the reading of calls. ServeConn closes the connection when those read are answered.
+		_ = c.SetWriteDeadline(time.Now().Add(peerCloseTimeout))
+		_ = c.SetReadDeadline(time.Now())
+	})
 	defer stop()
 	conn := &PeerConn{daemon: d, ctx: ctx, attempts: make(map[uint64]*localAttempt)}
+	defer conn.removeAttempts()
 	server := rpc.NewServer()
 	if err := server.RegisterName(peerService, conn); err != nil {
 		d.log.Error("register peer service", errorField(err))
@@ -75,7 +86,9 @@
 		return nil, false
 	}
 	a := newLocalAttempt(c.ctx)
+	a.discard = func() { c.removeAttempt(id) }
 	c.attempts[id] = a
+	c.daemon.peerAttempts.Add(1)
 	return a, true
 }
 
@@ -91,10 +104,21 @@
 	delete(c.attempts, id)
 	c.mu.Unlock()
 	if a != nil {
+		c.daemon.peerAttempts.Add(-1)
 		a.abandon()
 	}
 }
 
+// removeAttempts removes the attempts that were left when the connection ended.
+func (c *PeerConn) removeAttempts() {
+	c.mu.Lock()
+	ids := slices.Collect(maps.Keys(c.attempts))
+	c.mu.Unlock()
+	for _, id := range ids {
+		c.removeAttempt(id)
+	}
+}
+
 // Ask serves a request for a slot.
 func (c *PeerConn) Ask(args *AskArgs, reply *Reply) error {
 	a, ok := c.addAttempt(args.ID)
