--- a/mesh/local.go
+++ b/mesh/local.go
@@ -339,7 +339,7 @@
 		outcome, reason = OutcomeUnsent, "time_over"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		outcome, reason = OutcomeExpired, "time_over"
-	case ctx.Err() != nil:
+	case a.ctx.Err() != nil:
 		reason = "canceled"
 	}
 	elapsed := time.Since(started)
