Slots: bound the demand that is kept by rank

Cause: an entry was kept for ever for each rank that a request carried. The rank comes from another daemon, and each decision reads all entries. Ruled out: byKind, which has a bound. Change: ranks whose demand has decayed are dropped at each tick; at most 256 are kept, and the one with the lowest demand is dropped first.

--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -29,6 +29,10 @@
 	minRankShare = 0.05
 	// maxKinds bounds the number of kinds for which a run time is kept.
 	maxKinds = 256
+	// maxRanks bounds the number of ranks for which the demand is kept, and minDemand the demand
+	// below which a rank is dropped. Ranks come from other daemons.
+	maxRanks  = 256
+	minDemand = time.Microsecond
 )
 
 // Request is one request for a slot.
@@ -233,12 +237,34 @@
 func (l *Limiter) addDemand(now time.Time, rank int, run time.Duration) {
 	d := l.demand[rank]
 	if d == nil {
+		if len(l.demand) >= maxRanks {
+			l.dropLowestDemand(now)
+		}
 		d = &demand{updatedAt: now}
 		l.demand[rank] = d
 	}
 	d.add(now, run)
 }
 
+func (l *Limiter) dropLowestDemand(now time.Time) {
+	lowest, found := 0, false
+	for rank, d := range l.demand {
+		if !found || d.now(now) < l.demand[lowest].now(now) {
+			lowest, found = rank, true
+		}
+	}
+	delete(l.demand, lowest)
+}
+
+// dropIdleRanks drops the ranks that have hardly any demand left.
+func (l *Limiter) dropIdleRanks(now time.Time) {
+	for rank, d := range l.demand {
+		if d.now(now) < minDemand {
+			delete(l.demand, rank)
+		}
+	}
+}
+
 // slotShare returns the share of the slots that more important ranks leave to a rank.
 func (l *Limiter) slotShare(now time.Time, rank int) float64 {
 	demanded := time.Duration(0)
@@ -318,6 +344,7 @@
 // Tick starts queued requests while slots are free, and refuses those that can no longer
 // be expected to start in time.
 func (l *Limiter) Tick(now time.Time) []Event {
+	l.dropIdleRanks(now)
 	events := l.startWaiting(now, nil)
 	remaining := l.queue[:0]
 	for _, w := range l.queue {
--- a/core/slots/limiter_test.go
+++ b/core/slots/limiter_test.go
@@ -153,3 +153,26 @@
 		So(float64(refusedLate)/8000, ShouldBeLessThan, 0.05)
 	})
 }
+
+// Guards against memory that grows with the ranks that peers send.
+func TestManyRanks(t *testing.T) {
+	Convey("Given requests of a rank in use and of many ranks that come once", t, func() {
+		l, now := limiterWithRuns(4, 100*time.Millisecond), start
+		for i := range uint64(1000) {
+			now = now.Add(time.Millisecond)
+			for _, rank := range []int{0, int(i) + 1} {
+				r := request(i, rank, false)
+				r.Deadline = now.Add(4 * time.Second)
+				l.Admit(now, r)
+			}
+		}
+		So(len(l.demand), ShouldBeLessThanOrEqualTo, maxRanks)
+		Convey("ranks without demand are dropped, and the demand of the one in use is kept", func() {
+			inUse := l.demand[0].now(now)
+			l.Tick(now)
+			So(l.demand[0].now(now), ShouldEqual, inUse)
+			l.Tick(now.Add(time.Minute))
+			So(l.demand, ShouldBeEmpty)
+		})
+	})
+}
