Loadshed: forget ranks and services that are no longer in use

Cause: a blocked service kept each rank and each reporting service that it had seen for as long as it was blocked. The bound of its level counted them: with one of four ranks still in use the level rose to 4, from which it falls by 0.04 a tick once the service has recovered. Ruled out: refusedShare, which counts ranks in use only; Meter, whose Shares drops services. Change: Tick drops what has not been seen for pathLife.

--- a/core/loadshed/gate.go
+++ b/core/loadshed/gate.go
@@ -13,6 +13,7 @@
 package loadshed
 
 import (
+	"maps"
 	"sort"
 	"time"
 )
@@ -190,9 +191,17 @@
 	return min(max(remaining, 0), 1-minAdmittedShare)
 }
 
+// dropUnused drops the services and ranks that have not been seen for pathLife.
+func (b *blockedService) dropUnused(now time.Time) {
+	unused := func(last time.Time) bool { return now.Sub(last) > pathLife }
+	maps.DeleteFunc(b.lastReport, func(_ string, last time.Time) bool { return unused(last) })
+	maps.DeleteFunc(b.lastRequest, func(_ int, last time.Time) bool { return unused(last) })
+}
+
 // Tick adjusts the levels. It must be called once in each TickInterval.
 func (g *Gate) Tick(now time.Time) {
 	for service, b := range g.levels {
+		b.dropUnused(now)
 		excess := 0.0
 		if now.Sub(b.reportedAt) <= reportLife {
 			excess = b.blocked - blockedThreshold
--- a/core/loadshed/gate_test.go
+++ b/core/loadshed/gate_test.go
@@ -71,3 +71,31 @@
 		So(meter.Shares(now.Add(30*time.Second)), ShouldBeEmpty)
 	})
 }
+
+// Guards against a level that rises with ranks and services that are no longer in use, and against
+// memory that grows with them.
+func TestRanksOutOfUse(t *testing.T) {
+	Convey("Given a service that stays blocked, for which all ranks but one fall out of use", t, func() {
+		gate, now := NewGate(func() float64 { return 1 }), time.Unix(1000, 0)
+		simulate := func(steps int, ranks ...int) {
+			for range steps {
+				now = now.Add(TickInterval)
+				for _, rank := range ranks {
+					gate.Admit(now, "entry", rank)
+				}
+				gate.Observe(now, "entry", []Share{{Service: "deep", Blocked: 1}})
+				gate.Tick(now)
+			}
+		}
+		gate.Observe(now, "gone", []Share{{Service: "deep", Blocked: 1}})
+		simulate(100, 0, 1, 2, 3)
+		simulate(200, 0)
+		Convey("its level covers the ranks in use only", func() {
+			So(gate.Levels()["deep"], ShouldEqual, 1)
+		})
+		Convey("nothing is kept of the others", func() {
+			So(gate.levels["deep"].lastRequest, ShouldHaveLength, 1)
+			So(gate.levels["deep"].lastReport, ShouldHaveLength, 1)
+		})
+	})
+}
