Pipeline: bound the time in which the start of a body is received

Cause: before the handler is called, up to 128 KB of a body are read, with a bound of 10 s on each wait for bytes but none on the whole. A caller that sends a byte now and then held a connection, its goroutine and its buffer without end; the deadline of the request applies only afterwards. Ruled out: the rest of a longer body; the end of the request ends its reading (TestBodyOutlivesRequest, endless bodies). Change: Limits.BodyTimeout, one minute in the daemon.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -312,7 +312,11 @@
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		return nil, false
 	}
-	data, err := io.ReadAll(io.LimitReader(&timeoutBody{conn: c.netConn, body: r.Body}, BodyBufferSize))
+	body := &timeoutBody{conn: c.netConn, body: r.Body}
+	if timeout := c.server.Limits().BodyTimeout; timeout > 0 {
+		body.end = time.Now().Add(timeout)
+	}
+	data, err := io.ReadAll(io.LimitReader(body, BodyBufferSize))
 	if err != nil {
 		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(data), errorReader{err}))
 		r.Close = true
@@ -332,15 +336,21 @@
 // Read implements io.Reader.
 func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
 
-// timeoutBody is a request body whose reads fail when no byte arrives within bodyTimeout.
+// timeoutBody is a request body whose reads fail when no byte arrives within bodyTimeout, and
+// after end if that is set.
 type timeoutBody struct {
 	conn net.Conn
 	body io.Reader
+	end  time.Time
 }
 
 // Read implements io.Reader.
 func (t *timeoutBody) Read(p []byte) (int, error) {
-	_ = t.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	deadline := time.Now().Add(bodyTimeout)
+	if !t.end.IsZero() && t.end.Before(deadline) {
+		deadline = t.end
+	}
+	_ = t.conn.SetReadDeadline(deadline)
 	return t.body.Read(p)
 }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -31,6 +31,9 @@
 	// HeaderTimeout bounds the time from the first byte to the end of the header, and
 	// IdleTimeout the time in which no request is received or handled.
 	HeaderTimeout, IdleTimeout time.Duration
+	// BodyTimeout bounds the time in which the first BodyBufferSize bytes of a body, or all of a
+	// shorter one, are received.
+	BodyTimeout time.Duration
 }
 
 // Server serves HTTP/1.1 connections. All fields must be set before Serve is called.
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -184,6 +184,25 @@
 		So(responses, ShouldResemble, []string{"408 "})
 		So(closed, ShouldBeTrue)
 	})
+	Convey("A body of which the first part does not come in time fails, though bytes keep coming", t, func() {
+		h := &recorder{}
+		address, _ := startServer(t, h, Limits{BodyTimeout: 300 * time.Millisecond})
+		c, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		go func() {
+			_, err := io.WriteString(c, "POST /slow"+versionAndHost+"Transfer-Encoding: chunked\r\n\r\n")
+			for err == nil {
+				_, err = io.WriteString(c, "1\r\nx\r\n")
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		So(err, ShouldBeNil)
+		So(r.StatusCode, ShouldEqual, http.StatusBadRequest)
+		So(r.Close, ShouldBeTrue)
+	})
 	Convey("A stopping server closes connections after the next response, and idle ones on CloseIdle", t, func() {
 		address, s := startServer(t, &recorder{}, Limits{})
 		idle, err := net.Dial("tcp", address)
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -32,6 +32,10 @@
 	initialSlots = 8
 	// maxHeaderBytes limits a request's header unless the configuration sets a limit.
 	maxHeaderBytes = 64 << 10
+	// bodyStartTimeout limits the time to receive a request's body, or the first part of a long one.
+	// The request's deadline does not apply yet; callers that send more slowly would hold a
+	// connection and its memory without end.
+	bodyStartTimeout = time.Minute
 	// shutdownShare is the share of the grace time after which a stopping daemon aborts the
 	// requests in flight; the rest is left for the process to exit.
 	shutdownShare = 0.9
@@ -247,7 +251,7 @@
 
 // callerLimits returns the limits for requests of callers that are in force.
 func (d *Daemon) callerLimits() pipeline.Limits {
-	limits := pipeline.Limits{HeaderBytes: maxHeaderBytes}
+	limits := pipeline.Limits{HeaderBytes: maxHeaderBytes, BodyTimeout: bodyStartTimeout}
 	if t := d.table(); t != nil {
 		l := t.Config().Limits
 		limits.HeaderTimeout, limits.IdleTimeout = l.HeaderTimeout, l.IdleTimeout
