mesh: refuse requests that have not run before a stop cuts them

Ruled out: nothing. Change: after 5/6 of the grace time the dispatcher starts no further attempts. Requests in the local queue are refused, those in the queue of another daemon are withdrawn, and each gets 503. A request that another daemon may have started is withdrawn only if that daemon still queues it; a daemon that does not know the new call ignores it. A request at which an upstream is at work keeps waiting, and a failure that an upstream gave is passed on. This follows the platform's rule on stops: an answer for what was not passed on, none in place of the upstream's. Requests that run at the cut still get 502 in some runs.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -65,6 +65,7 @@
 	states         map[string]*upstreamState      // by ID of the upstream
 	budgets        map[string]*retry.WindowBudget // by name of the service
 	averageLatency map[string]time.Duration       // by name of the route, over all upstreams
+	closed         bool
 }
 
 // New returns a dispatcher over the upstreams in a directory, which the caller keeps up to
@@ -78,6 +79,10 @@
 	}
 }
 
+// Close ends the starting of attempts. Requests that wait for one are refused if they have not
+// run; attempts under way are not affected.
+func (d *Dispatcher) Close() { d.closed = true }
+
 // Open returns a new request with the given time left. retryShare is the probability that
 // the request is made by a run that is itself a retry; that fraction is charged to the budget.
 func (d *Dispatcher) Open(now time.Time, route *routing.Route, service string, left time.Duration, retryShare float64) *OutgoingRequest {
@@ -136,6 +141,9 @@
 // Next returns the first or next step of a request. Upstreams that are expected to have a free
 // slot are asked first, without queueing. After that, the best one may queue the request.
 func (d *Dispatcher) Next(now time.Time, req *OutgoingRequest) Step {
+	if d.closed {
+		return d.refuse(req, resultcode.Leaving, noUpstreamRetryAfter, "stopping")
+	}
 	if req.Deadline.Sub(now) < minSendTime {
 		return d.refuse(req, resultcode.DeadlineTooShort, 0, "time_left")
 	}
@@ -383,6 +391,8 @@
 func (d *Dispatcher) mayRetry(now time.Time, req *OutgoingRequest, report Report) (string, bool) {
 	left := req.Deadline.Sub(now)
 	switch {
+	case d.closed:
+		return "stopping", false
 	case !report.Retryable:
 		return "body_spent", false
 	case !req.Route.Idempotent && report.Result != Rejected:
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -213,3 +213,32 @@
 		So(askedAgain, ShouldBeGreaterThan, 0)
 	})
 }
+
+// Guards against requests that lose their connection when a daemon stops although they have not
+// run, and against a refusal in place of an answer that an upstream has given.
+func TestClosedDispatcher(t *testing.T) {
+	Convey("Given a closed dispatcher", t, func() {
+		d, _ := fleet(3)
+		req := open(d, true)
+		d.Next(start, req)
+		d.Close()
+		Convey("a request that has not run is refused", func() {
+			for _, r := range []Result{Refused, Leaving, NoReply, WrongUpstream} {
+				step := d.Report(start, req, Report{Result: r, Retryable: true})
+				So(step.Code, ShouldEqual, resultcode.Leaving)
+			}
+			So(d.Next(start, open(d, false)).Code, ShouldEqual, resultcode.Leaving)
+		})
+		Convey("a request that the backend server refused is refused", func() {
+			step := d.Report(start, req, Report{Result: Rejected, Retryable: true})
+			So(step.Code.Kind(), ShouldEqual, resultcode.NotRun)
+		})
+		Convey("a lost answer ends the request with AttemptLost", func() {
+			So(d.Report(start, req, Report{Result: Lost, Retryable: true}).Code, ShouldEqual, resultcode.AttemptLost)
+		})
+		Convey("answers are delivered, also failed ones", func() {
+			So(d.Report(start, req, Report{Result: Failed, Retryable: true}).Deliver, ShouldBeTrue)
+			So(d.Report(start, req, Report{Result: Answered}).Deliver, ShouldBeTrue)
+		})
+	})
+}
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -313,8 +313,15 @@
 }
 
 // askRemote requests a slot. If the request is not included and may not be queued, the peer
-// replies at once, so that the time is limited to askTimeout.
+// replies at once, so that the time is limited to askTimeout. When the daemon starts no further
+// attempts, a request that has not run is withdrawn.
 func (c *callerRequest) askRemote(ctx context.Context, link *peerLink, ask *AskArgs) (Reply, error) {
+	withdraw := func() { link.withdraw(ask.ID) }
+	if ask.Payload == nil {
+		ctx, withdraw = context.WithCancel(ctx)
+		defer withdraw()
+	}
+	defer context.AfterFunc(c.daemon.starting, withdraw)()
 	if ask.Payload == nil && !ask.MayQueue {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, askTimeout)
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -33,7 +33,7 @@
 	// maxHeaderBytes limits a request's header unless the configuration sets a limit.
 	maxHeaderBytes = 64 << 10
 	// drainShare is the share of the grace time after which a stopping daemon accepts no more
-	// connections of callers and closes the open ones as they become idle.
+	// connections of callers, closes the open ones as they become idle, and starts no attempts.
 	drainShare = 5.0 / 6
 	// shutdownShare is the share of the grace time after which a stopping daemon aborts the
 	// requests in flight; the rest is left for the process to exit.
@@ -128,6 +128,10 @@
 
 	wakeSync chan struct{} // wakes peerLoop
 
+	// starting ends when a stopping daemon starts no further attempts.
+	starting     context.Context
+	stopStarting context.CancelFunc
+
 	ctx       context.Context
 	workers   *workgroup.Group
 	callers   pipeline.Server
@@ -167,6 +171,7 @@
 	d.grace, d.seeds = settings.Grace, settings.Seeds
 	d.workers = workgroup.New()
 	d.ctx = d.workers.Context()
+	d.starting, d.stopStarting = context.WithCancel(d.ctx)
 	d.backend = &backend{address: settings.BackendAddress, dial: opts.Dial,
 		count: func(event string) { d.metrics.Count(metricBackend, event) }}
 	d.declareGauges()
@@ -347,7 +352,7 @@
 // of callers for acceptShare of the grace time, and closes each caller's connection after its
 // next answer. When the daemon is idle, or after drainShare of the grace time, it closes the
 // connections of callers as they become idle, and after shutdownShare of the grace time the
-// others.
+// others. Requests that wait for a slot or a retry after drainShare are refused.
 func (d *Daemon) Shutdown() {
 	started := time.Now()
 	d.mu.Lock()
@@ -368,6 +373,7 @@
 		time.Sleep(tickInterval)
 	}
 	_ = d.callerListener.Close()
+	d.endAttempts()
 	d.callers.Drain(cutoff)
 	for time.Now().Before(cutoff) && !d.idle(time.Now()) {
 		time.Sleep(tickInterval)
@@ -376,6 +382,15 @@
 	d.Close()
 }
 
+// endAttempts refuses the requests that wait for a slot or a retry, here or at another daemon.
+func (d *Daemon) endAttempts() {
+	d.mu.Lock()
+	d.dispatcher.Close()
+	d.deliverDecisions(d.limiter.Evict())
+	d.mu.Unlock()
+	d.stopStarting()
+}
+
 // idle reports whether all requests of callers that arrived before t have been answered, and all
 // attempts of peers have ended. Close still writes the replies to these.
 func (d *Daemon) idle(t time.Time) bool {
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -167,6 +167,16 @@
 	}
 }
 
+// withdrawWaiting refuses an attempt if it waits for a slot.
+func (d *Daemon) withdrawWaiting(a *localAttempt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.waiting[a.id] == a {
+		d.limiter.Cancel(a.id)
+		d.deliverDecisions([]slots.Event{{ID: a.id, Decision: slots.Decision{Verdict: slots.Refuse, Reason: slots.Closed}}})
+	}
+}
+
 // releaseSlot releases the slot of a run that ended with the outcome.
 func (d *Daemon) releaseSlot(a *localAttempt, outcome slots.Outcome) {
 	d.mu.Lock()
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -256,3 +256,11 @@
 		l.client.Go(peerService+".Cancel", &CallID{ID: id}, &PingReply{}, make(chan *rpc.Call, 1))
 	}
 }
+
+// withdraw asks the peer to refuse an attempt that still waits for a slot. The reply is ignored:
+// the outcome comes with the reply to Ask.
+func (l *peerLink) withdraw(id uint64) {
+	if !l.broken.Load() {
+		l.client.Go(peerService+".Withdraw", &CallID{ID: id}, &PingReply{}, make(chan *rpc.Call, 1))
+	}
+}
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -178,6 +178,14 @@
 	return nil
 }
 
+// Withdraw refuses an attempt that waits for a slot. Others continue.
+func (c *PeerConn) Withdraw(args *CallID, reply *PingReply) error {
+	if a := c.findAttempt(args.ID); a != nil {
+		c.daemon.withdrawWaiting(a)
+	}
+	return nil
+}
+
 // Ping returns the revision of the replica.
 func (c *PeerConn) Ping(args *PingArgs, reply *PingReply) error {
 	if args.From != "" {
