mesh: close the callers' connections first when the daemon closes

Cause: Close ended the links to other daemons before the callers' connections. A request that ran at another daemon counted as lost, and its caller got 502 in place of the upstream's answer if that was written before its connection closed. Ruled out by reading only: requests that run at the local backend server, whose runs end with the connection of the caller. Change: Close closes the callers' connections before anything else.

--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -399,6 +399,8 @@
 
 // Close stops the daemon at once, aborts the requests in flight, and waits for its goroutines.
 func (d *Daemon) Close() {
+	// First, so that no request in flight is answered because its link to a peer has ended.
+	d.callers.Close()
 	d.workers.Cancel()
 	for _, l := range d.listeners {
 		_ = l.Close()
@@ -406,7 +408,6 @@
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
-	d.callers.Close()
 	d.backend.closeIdle(time.Now(), true)
 	d.workers.Wait()
 }
