Confirm a paused home by most of its peers, not by one

Cause: after a pause the answer of any one peer resumed new keys at a home. A peer that is cut off from the others does not know a replacement that was started during the pause, so that its answer proves nothing. Ruled out: the list as the only cause. The decision is membership.Confirmation. An earlier assertion in TestPausedDaemonConfirmsBeforeKeyedCalls let one of three peers suffice, which is the fault; it now asks for two and checks that one does not. Price: a home that reaches less than half of its peers after a pause refuses new keys until it reaches more or the list names it. Figures: TestOnePeerDoesNotConfirmAPausedHome fails without the change.

--- a/core/membership/peers.go
+++ b/core/membership/peers.go
@@ -73,9 +73,24 @@
 	return out[:min(max, len(out))]
 }
 
+// LivePeers returns the number of live peers, without the daemon itself.
+func (v *View) LivePeers() int {
+	count := 0
+	for _, e := range v.entries {
+		if v.isLivePeer(e) {
+			count++
+		}
+	}
+	return count
+}
+
+func (v *View) isLivePeer(e *entry) bool {
+	return e.record.State == Live && e.record.Name != v.self.Name && v.usable(e)
+}
+
 func (v *View) livePeers() (all, related []*entry) {
 	for _, e := range v.entries {
-		if e.record.State != Live || e.record.Name == v.self.Name || !v.usable(e) {
+		if !v.isLivePeer(e) {
 			continue
 		}
 		all = append(all, e)
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -165,6 +165,7 @@
 		return
 	}
 	n.resumedAt = now
+	n.confirmation.Restart(now)
 	n.table.SuspendNewKeys()
 	n.admission.ResumeAfterPause(now)
 	n.resumeAfterPause(now)
@@ -172,18 +173,22 @@
 
 // ConfirmIncarnation resumes new keys after a pause if the list of VMs that was merged
 // last, and was asked for at the given time, names this VM and no other for the
-// upstream of this daemon.
+// upstream of this daemon. A list that was asked for before the end of the latest pause
+// is ignored: it does not show whether this daemon was replaced meanwhile.
 func (n *Node) ConfirmIncarnation(asked time.Time) {
-	if n.view.ListedAlone() {
-		n.confirmIncarnation(asked)
+	if !asked.Before(n.resumedAt) && n.view.ListedAlone() {
+		n.table.ResumeNewKeys()
 	}
 }
 
-// confirmIncarnation resumes new keys after a pause. An answer to what was asked before
-// the end of the latest pause is ignored: it does not show whether this daemon was
-// replaced meanwhile.
-func (n *Node) confirmIncarnation(asked time.Time) {
-	if !asked.Before(n.resumedAt) {
+// confirmByPeer resumes new keys after a pause once enough peers have answered a digest
+// that was sent after it.
+func (n *Node) confirmByPeer(sent time.Time, peer membership.Record) {
+	if peer.Name == n.cfg.Self.Name {
+		return
+	}
+	n.confirmation.Answered(sent, peer.Name)
+	if n.confirmation.Enough(n.view.LivePeers()) {
 		n.table.ResumeNewKeys()
 	}
 }
--- a/core/node/control_test.go
+++ b/core/node/control_test.go
@@ -25,8 +25,10 @@
 		So(f.Outbox(at(4000)).Exchanges, ShouldHaveLength, 3+3) // retries of the first three, and the burst after a pause
 		f.Answered(at(4010), at(-1000), 1, peer.Digest(at(-1000)))
 		So(keyedCallCode(4010), ShouldEqual, resultcode.HomeUnavailable)
-		Convey("the answer to a digest sent after the pause resumes keyed calls", func() {
+		Convey("the answers of most peers to digests sent after the pause resume keyed calls", func() {
 			f.Answered(at(4020), at(4005), 2, peer.DigestFor(at(4010), f.Self()))
+			So(keyedCallCode(4020), ShouldEqual, resultcode.HomeUnavailable)
+			f.Answered(at(4020), at(4005), 3, newFixture("stock-a", "stock").DigestFor(at(4010), f.Self()))
 			So(f.Arrive(at(4020), incomingCall(f, "confirm", false, homeKey("order-a", at(4020)))).Verdict, ShouldEqual, Run)
 		})
 		Convey("an answer with the record of its replacement does not", func() {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -84,6 +84,7 @@
 	// replaced is set once a later incarnation of this daemon is known.
 	replaced           bool
 	resumedAt          time.Time // when the latest pause was detected
+	confirmation       membership.Confirmation
 	admission          *admission.Controller
 	table              *idempotency.Table
 	crashes            *quarantine.Tracker
--- a/core/node/outbox.go
+++ b/core/node/outbox.go
@@ -100,7 +100,7 @@
 	// instead, the fence would be too low by the time that the answer took.
 	n.table.RaiseFence(sent, d.Clock)
 	n.Receive(now, d)
-	n.confirmIncarnation(sent)
+	n.confirmByPeer(sent, d.Sender)
 }
 
 // Fetched offers a configuration that was fetched from a peer. Unless it is accepted,
--- a/core/node/pause_test.go
+++ b/core/node/pause_test.go
@@ -33,3 +33,42 @@
 		So(codeAfter(own), ShouldEqual, resultcode.Code(0))
 	})
 }
+
+// Guards against a second run of a key by a paused home that takes the word of a peer
+// which is cut off and does not know of the replacement.
+func TestOnePeerDoesNotConfirmAPausedHome(t *testing.T) {
+	Convey("Given a home with three peers that was paused", t, func() {
+		f, replacement := newFixture("order-a", "order"), newFixture("order-a", "order").Self()
+		replacement.Started, replacement.Seq = at(0), 1
+		f.Tick(at(-1000))
+		f.Tick(at(4000))
+		answer := func(ms int, name string, knows bool) {
+			peer := newFixture(name, name[:5])
+			if knows {
+				peer.Receive(at(1000), Digest{Sender: replacement, Clock: at(1000)})
+			}
+			f.Answered(at(ms), at(4005), 1, peer.DigestFor(at(ms), f.Self()))
+		}
+		arrive := func(ms int) ArrivalDecision {
+			return f.Arrive(at(ms), incomingCall(f, "confirm", false, homeKey("order-a", at(ms))))
+		}
+		answer(4010, "stock-b", false)
+		answer(4011, "stock-b", false)
+		So(arrive(4012).Reply.Code, ShouldEqual, resultcode.HomeUnavailable)
+		Convey("keys are refused when another peer names the replacement", func() {
+			answer(4020, "stock-a", true)
+			So(arrive(4021).Reply.Code, ShouldEqual, resultcode.NotHome)
+		})
+		Convey("keys run once most peers have answered", func() {
+			answer(4020, "stock-a", false)
+			So(arrive(4021).Verdict, ShouldEqual, Run)
+		})
+		Convey("answers from before the next pause do not count after it", func() {
+			f.Tick(at(4500))
+			f.Tick(at(6000))
+			f.Answered(at(6010), at(6005), 2, newFixture("stock-a", "stock").DigestFor(at(6010), f.Self()))
+			f.Answered(at(6010), at(4005), 2, newFixture("order-b", "order").DigestFor(at(6010), f.Self()))
+			So(f.Arrive(at(6011), incomingCall(f, "confirm", false, homeKey("order-a", at(6011)))).Reply.Code, ShouldEqual, resultcode.HomeUnavailable)
+		})
+	})
+}
