Let keyed calls of a starting daemon wait for the home's address

Cause: a daemon whose first read of the list of VMs fails learns the fleet from peers record by record, and reads the list again 1.6 to 2.4 s later. Reads are answered as soon as one upstream of a service is known, but a call under a key or token has one home, and was refused at once while its address was not known (home_unavailable, reported as home_not_asked). Ruled out: the first send of a token being taken for a repeated one. A pause, and a home that refused: the counters of the entry show no pause and no attempt. The test's assumption: a caller that waits 5 s gains nothing from a refusal in the first second. Change: until 3 s after its start, a daemon that has read no list checks every 50 ms whether the address is known, as long as the deadline allows. Nothing is sent, so no retry is used. The choice of a home moves from client.go to home.go unchanged. A home that a list was read without is refused at once, as before.

--- a/core/node/client.go
+++ b/core/node/client.go
@@ -8,7 +8,6 @@
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/config"
 	"github.com/hawthornpoint/hawthornpoint/core/balancer"
-	"github.com/hawthornpoint/hawthornpoint/core/idempotency"
 	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/retry"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
@@ -233,38 +232,6 @@
 	return o.ledger.LeaseAll()
 }
 
-// findHome sets the only upstream that may run a request with a key or token.
-func (n *Node) findHome(o *OutgoingCall) resultcode.Code {
-	switch {
-	case o.meta.Token != "":
-		o.meta.Key = ""
-		token, err := idempotency.ParseToken(o.meta.Token)
-		if err != nil || token.Service != o.meta.Service {
-			return resultcode.BadToken
-		}
-		o.home = token.Upstream
-	case o.meta.Key != "":
-		if _, _, err := idempotency.ParseKey(o.meta.Key); err != nil {
-			return resultcode.BadKey
-		}
-		names := upstreamNames(n.conf.Service(o.meta.Service))
-		previous := n.conf.Service(o.meta.Service).PreviousHomes
-		if idempotency.HomeMoving(o.meta.Key, names, previous) {
-			return resultcode.HomeMoving
-		}
-		o.home = idempotency.Home(o.meta.Key, names)
-	}
-	return 0
-}
-
-func upstreamNames(s *config.Service) []string {
-	names := make([]string, len(s.Upstreams))
-	for i, u := range s.Upstreams {
-		names[i] = u.Name
-	}
-	return names
-}
-
 // Resume continues a call after Wait.
 func (n *Node) Resume(now time.Time, o *OutgoingCall) Step {
 	n.detectPause(now)
@@ -286,7 +253,7 @@
 	}
 	endpoint, known := n.endpoint[o.meta.Service][name]
 	if !known {
-		return n.finish(now, o, resultcode.HomeUnavailable)
+		return n.awaitHome(now, o)
 	}
 	o.attempt = attempt{upstream: name}
 	if len(o.kind.Calls) > 0 {
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -103,6 +103,7 @@
 
 // SetVMs merges the platform's list of VMs.
 func (n *Node) SetVMs(now time.Time, records []membership.Record) {
+	n.listRead = n.listRead || len(records) > 0
 	n.view.MergeList(now, records)
 	n.applyMembership(now)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -81,6 +81,7 @@
 	// nextExpiry is when membership records are checked again.
 	nextExpiry time.Time
 	pauses     int
+	listRead   bool // whether a list of VMs with a record was merged
 	// replaced is set once a later incarnation of this daemon is known.
 	replaced           bool
 	resumedAt          time.Time // when the latest pause was detected
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -42,6 +42,18 @@
 }
 
 func newFixture(name, service string) *fixture {
+	f := newUnlistedFixture(name, service)
+	var list []membership.Record
+	for _, n := range []string{"order-a", "order-b", "stock-a", "stock-b"} {
+		list = append(list, membership.Record{Name: n, Service: n[:5], State: membership.Live,
+			PeerAddress: n, ControlAddress: n, Zone: "z1", Region: "r1"})
+	}
+	f.SetVMs(start, list)
+	return f
+}
+
+// newUnlistedFixture returns a node that has not read the list of VMs.
+func newUnlistedFixture(name, service string) *fixture {
 	f := &fixture{}
 	r := rand.New(rand.NewPCG(1, 2))
 	f.Node = New(Config{
@@ -53,12 +65,6 @@
 		OnViolation: func(v Violation) { f.violations = append(f.violations, v) },
 	})
 	f.offer(testConfig(1))
-	var list []membership.Record
-	for _, n := range []string{"order-a", "order-b", "stock-a", "stock-b"} {
-		list = append(list, membership.Record{Name: n, Service: n[:5], State: membership.Live,
-			PeerAddress: n, ControlAddress: n, Zone: "z1", Region: "r1"})
-	}
-	f.SetVMs(start, list)
 	f.Ready()
 	return f
 }
