Log the era of the store beside each revision

A store that was restored from an older copy assigns its revisions again, so that a revision in a log line did not say which change was meant, and nothing said that the store had been restored or that its listing was ignored as old.

Era and revision form a replica.Position, which replaces the bare revision in updates, messages between daemons, log lines and metrics (store_era). Decisions still compare revisions alone. The fields of the messages have new names, so that a daemon without them reads the zero position and ignores it. New lines: 'store restored from an older copy' and 'listing older than the replica'. 'upstream listed' states the sequence number of the entry.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -23,7 +23,9 @@
 	// ID identifies the upstream. Incarnation increases with each start, and is 0 if unknown.
 	ID          string
 	Incarnation int64
-	Service     string
+	// Sequence increases with each entry that the incarnation writes, and is 0 if unknown.
+	Sequence int64
+	Service  string
 	// Address is the host and port of the backend server itself.
 	Address string
 	Zone    string
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -25,8 +25,8 @@
 // Update holds the changes that bring a copy to a revision.
 type Update struct {
 	Items []Item
-	// AsOf is the revision of the copy after the update.
-	AsOf int64
+	// At is the position of the copy after the update.
+	At Position
 	// Whole is set when Items is the complete state: keys that are missing from it do not
 	// exist.
 	Whole bool
@@ -38,11 +38,11 @@
 	removals []Item // in the order of their revisions
 	// removalsSince is the revision after which removals lists every removal.
 	removalsSince int64
-	asOf          int64
+	at            Position
 }
 
-// AsOf returns the revision of the copy; 0 before the first update.
-func (r *Replica) AsOf() int64 { return r.asOf }
+// At returns the position of the copy; the zero value before the first update.
+func (r *Replica) At() Position { return r.at }
 
 // Apply applies an update that is newer than the copy and returns the items that changed.
 // Older updates change nothing, nor does an incremental one of the same revision.
@@ -50,7 +50,7 @@
 	if r.items == nil {
 		r.items = make(map[string]Item)
 	}
-	if update.AsOf < r.asOf || update.AsOf == r.asOf && !update.Whole {
+	if update.At.Revision < r.at.Revision || update.At.Revision == r.at.Revision && !update.Whole {
 		return nil
 	}
 	var changed []Item
@@ -62,7 +62,7 @@
 	if update.Whole {
 		changed = append(changed, r.removeUnlisted(update)...)
 	}
-	r.asOf = update.AsOf
+	r.at = update.At
 	return changed
 }
 
@@ -98,19 +98,19 @@
 	}
 	var unlisted []Item
 	for key, item := range r.items {
-		if !listed[key] && item.Revision <= update.AsOf {
+		if !listed[key] && item.Revision <= update.At.Revision {
 			delete(r.items, key)
-			unlisted = append(unlisted, Item{Key: key, Revision: update.AsOf, Removed: true})
+			unlisted = append(unlisted, Item{Key: key, Revision: update.At.Revision, Removed: true})
 		}
 	}
-	r.removalsSince = max(r.removalsSince, update.AsOf)
+	r.removalsSince = max(r.removalsSince, update.At.Revision)
 	r.removals = nil
 	return unlisted
 }
 
 // Since returns the changes after a revision. Items is empty when nothing changed.
 func (r *Replica) Since(revision int64) Update {
-	update := Update{AsOf: r.asOf, Whole: revision < r.removalsSince || revision == 0}
+	update := Update{At: r.at, Whole: revision < r.removalsSince || revision == 0}
 	for _, item := range r.items {
 		if update.Whole || item.Revision > revision {
 			update.Items = append(update.Items, item)
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -21,11 +21,11 @@
 func TestOldUpdates(t *testing.T) {
 	Convey("Updates older than the copy change nothing", t, func() {
 		var r Replica
-		r.Apply(Update{Items: []Item{storedItem("a", 1), storedItem("b", 2)}, AsOf: 2, Whole: true})
-		So(r.Apply(Update{Items: []Item{removedItem("a", 3)}, AsOf: 3}), ShouldHaveLength, 1)
-		So(r.Apply(Update{Items: []Item{storedItem("a", 1)}, AsOf: 2}), ShouldBeEmpty)
-		So(r.Apply(Update{Items: []Item{storedItem("a", 1), storedItem("b", 2)}, AsOf: 2, Whole: true}), ShouldBeEmpty)
-		So(r.AsOf(), ShouldEqual, 3)
+		r.Apply(Update{Items: []Item{storedItem("a", 1), storedItem("b", 2)}, At: Position{Revision: 2}, Whole: true})
+		So(r.Apply(Update{Items: []Item{removedItem("a", 3)}, At: Position{Revision: 3}}), ShouldHaveLength, 1)
+		So(r.Apply(Update{Items: []Item{storedItem("a", 1)}, At: Position{Revision: 2}}), ShouldBeEmpty)
+		So(r.Apply(Update{Items: []Item{storedItem("a", 1), storedItem("b", 2)}, At: Position{Revision: 2}, Whole: true}), ShouldBeEmpty)
+		So(r.At(), ShouldResemble, Position{Revision: 3})
 	})
 }
 
@@ -34,8 +34,8 @@
 func TestListingRemovesMissingItems(t *testing.T) {
 	Convey("A listing removes the items it does not contain, except those newer than the listing", t, func() {
 		var r Replica
-		r.Apply(Update{Items: []Item{storedItem("a", 1), storedItem("b", 2)}, AsOf: 2, Whole: true})
-		changed := r.Apply(Update{Items: []Item{storedItem("b", 2), storedItem("c", 9)}, AsOf: 8, Whole: true})
+		r.Apply(Update{Items: []Item{storedItem("a", 1), storedItem("b", 2)}, At: Position{Revision: 2}, Whole: true})
+		changed := r.Apply(Update{Items: []Item{storedItem("b", 2), storedItem("c", 9)}, At: Position{Revision: 8}, Whole: true})
 		So(changed, ShouldHaveLength, 2)
 		So(r.Since(8).Items, ShouldResemble, []Item{storedItem("c", 9)})
 		So(r.Since(2).Whole, ShouldBeTrue)
@@ -54,15 +54,15 @@
 			if rapid.Bool().Draw(t, "removed") {
 				item = removedItem(item.Key, revision)
 			}
-			source.Apply(Update{Items: []Item{item}, AsOf: revision})
+			source.Apply(Update{Items: []Item{item}, At: Position{Revision: revision}})
 			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
-				peer.Apply(source.Since(peer.AsOf()))
+				peer.Apply(source.Since(peer.At().Revision))
 			}
 		}
-		peer.Apply(source.Since(peer.AsOf()))
+		peer.Apply(source.Since(peer.At().Revision))
 		fresh.Apply(source.Since(0))
 		for _, replica := range []*Replica{&peer, &fresh} {
-			if fmt.Sprint(replica.Since(0).Items) != fmt.Sprint(source.Since(0).Items) || replica.AsOf() != source.AsOf() {
+			if fmt.Sprint(replica.Since(0).Items) != fmt.Sprint(source.Since(0).Items) || replica.At() != source.At() {
 				t.Fatalf("copy %v, source %v", replica.Since(0), source.Since(0))
 			}
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -189,7 +189,7 @@
 			upstreamByAddress[l.Get("address")] = l.Get("upstream")
 		}
 		// Every daemon logs the same change of an upstream.
-		key := fmt.Sprint(l.Event, l.Get("upstream"), l.Get("revision"))
+		key := fmt.Sprint(l.Event, l.Get("upstream"), l.Get("era"), l.Get("revision"))
 		if attempted[l.Get("upstream")] && !seen[key] {
 			seen[key] = true
 			report.UpstreamLines = append(report.UpstreamLines, l)
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -388,8 +388,8 @@
 	d.workers.Wait()
 }
 
-// Revision returns the revision of the replica, 0 if nothing has been read.
-func (d *Daemon) Revision() int64 { return d.asOf() }
+// Position returns the position of the replica, zero if nothing has been read.
+func (d *Daemon) Position() replica.Position { return d.position() }
 
 // Upstreams returns the number of known upstreams.
 func (d *Daemon) Upstreams() int {
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -13,6 +13,8 @@
 	eventStoreLost      = "store lost"
 	eventStoreRecovered = "store regained"
 	eventCompacted      = "store history compacted"
+	eventStoreRestored  = "store restored from an older copy"
+	eventListingIgnored = "listing older than the replica"
 	eventSourceFailed   = "source failed"
 	eventUpdated        = "replica updated"
 	eventUnreadableItem = "item not readable"
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/watchers"
 )
 
@@ -89,7 +90,7 @@
 	if err != nil {
 		return FollowReply{}, err
 	}
-	args := &FollowArgs{After: d.asOf(), Wait: wait, From: d.settings.BackendAddress}
+	args := &FollowArgs{Since: d.position(), Wait: wait, From: d.settings.BackendAddress}
 	reply, err := longPollLink[FollowReply](ctx, link, "Follow", args)
 	if err == nil && !reply.Watching {
 		err = errors.New("does not watch the store")
@@ -97,17 +98,17 @@
 	return reply, err
 }
 
-// awaitChanges returns the changes after a revision as soon as there are any. It returns none
+// awaitChanges returns the changes after a position as soon as there are any. It returns none
 // if none came within the wait or this daemon does not watch the store.
-func (d *Daemon) awaitChanges(ctx context.Context, after int64, wait time.Duration) FollowReply {
+func (d *Daemon) awaitChanges(ctx context.Context, after replica.Position, wait time.Duration) FollowReply {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		d.mu.Lock()
 		changed := d.changed
 		reply := FollowReply{Watching: d.watching && !d.stopping, Doubtful: d.dir.Doubtful(time.Now())}
-		if d.replica.AsOf() > after {
-			reply.Update = d.replica.Since(after)
+		if d.replica.At().Revision > after.Revision {
+			reply.Update = d.replica.Since(after.Revision)
 		}
 		d.mu.Unlock()
 		if !reply.Watching || len(reply.Update.Items) > 0 {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -110,8 +110,8 @@
 	Call bool
 	// Blocked holds the blocked shares of the upstream's calls, by service.
 	Blocked []loadshed.Share
-	// AsOf is the revision of the daemon's replica.
-	AsOf int64
+	// At is the position of the daemon's replica.
+	At replica.Position
 }
 
 // Answer is the backend server's answer.
@@ -134,15 +134,15 @@
 	Last bool
 }
 
-// SyncArgs requests the changes after a revision.
-type SyncArgs struct{ After int64 }
+// SyncArgs requests the changes after a position.
+type SyncArgs struct{ Since replica.Position }
 
 // SyncReply answers SyncArgs.
 type SyncReply struct{ Update replica.Update }
 
-// FollowArgs requests the changes after a revision and waits for them up to Wait.
+// FollowArgs requests the changes after a position and waits for them up to Wait.
 type FollowArgs struct {
-	After int64
+	Since replica.Position
 	Wait  time.Duration
 	// From is the address of the backend server on the sender's VM.
 	From string
@@ -159,15 +159,15 @@
 	Doubtful time.Duration
 }
 
-// PingArgs tests a connection and carries the revision of the sender's replica.
+// PingArgs tests a connection and carries the position of the sender's replica.
 type PingArgs struct {
-	AsOf int64
+	At replica.Position
 	// From is the address of the backend server on the sender's VM.
 	From string
 }
 
 // PingReply answers a ping, and other messages whose reply has no content.
 type PingReply struct {
-	// AsOf is the revision of the daemon's replica.
-	AsOf int64
+	// At is the position of the daemon's replica.
+	At replica.Position
 }
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -39,6 +39,7 @@
 	metricLimit     = gauge("slots", "Slots of the local backend server that are used.")
 	metricUpstreams = gauge("upstreams", "Upstreams that are known.")
 	metricVersion   = gauge("configuration_version", "Version of the configuration in force; 0 for none.")
+	metricEra       = gauge("store_era", "Era of the store that is in force; it rises when the store is restored from a copy.")
 	metricRevision  = gauge("store_revision", "Revision of the store that is in force.")
 	metricGated     = gauge("gated_services", "Services for which new requests are refused at the entry.")
 )
@@ -106,7 +107,8 @@
 	d.metrics.Gauge(metricWaiting, locked(func() int { return d.limiter.Load().Waiting }))
 	d.metrics.Gauge(metricLimit, locked(func() int { return d.limiter.Load().Limit }))
 	d.metrics.Gauge(metricUpstreams, locked(func() int { return d.dir.Len() }))
-	d.metrics.Gauge(metricRevision, locked(func() int { return int(d.replica.AsOf()) }))
+	d.metrics.Gauge(metricEra, locked(func() int { return int(d.replica.At().Era) }))
+	d.metrics.Gauge(metricRevision, locked(func() int { return int(d.replica.At().Revision) }))
 	d.metrics.Gauge(metricGated, locked(func() int { return len(d.gate.Levels()) }))
 	d.metrics.Gauge(metricVersion, func() float64 {
 		if t := d.table(); t != nil {
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
@@ -67,7 +69,7 @@
 		fields = []zap.Field{zap.String("id", c.head.ID), zap.String("host", c.r.Host), zap.String("path", c.r.URL.Path)}
 	}
 	fields = append(fields, zap.String("code", code.String()), zap.Int("status", status), zap.String("reason", reason),
-		zap.Duration("retry_after", retryAfter), zap.Duration("held", time.Since(c.arrived)), zap.Int64("revision", d.asOf()))
+		zap.Duration("retry_after", retryAfter), zap.Duration("held", time.Since(c.arrived)), positionField(d.position()))
 	if t := d.table(); t != nil {
 		fields = append(fields, zap.Uint64("config", t.Config().Version))
 	}
@@ -94,5 +96,14 @@
 		zap.Int("asked", c.outgoing.Asked()), zap.Int("sent", c.outgoing.Sent()))...)
 }
 
+// positionField returns a log field with a position of the store, as its era and its revision.
+func positionField(p replica.Position) zap.Field {
+	return zap.Inline(zapcore.ObjectMarshalerFunc(func(enc zapcore.ObjectEncoder) error {
+		enc.AddInt64("era", p.Era)
+		enc.AddInt64("revision", p.Revision)
+		return nil
+	}))
+}
+
 // errorField returns a log field with an error but without its stack, to keep it on one line.
 func errorField(err error) zap.Field { return zap.String("error", err.Error()) }
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -154,30 +154,30 @@
 	return nil
 }
 
-// Ping returns the revision of the replica.
+// Ping returns the position of the replica.
 func (c *PeerConn) Ping(args *PingArgs, reply *PingReply) error {
 	if args.From != "" {
-		c.daemon.notePeerRevision(args.AsOf, args.From)
+		c.daemon.notePeerPosition(args.At, args.From)
 	}
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.AsOf = c.daemon.replica.AsOf()
+	reply.At = c.daemon.replica.At()
 	return nil
 }
 
-// Follow waits for changes after a revision, up to a limit, and returns them.
+// Follow waits for changes after a position, up to a limit, and returns them.
 func (c *PeerConn) Follow(args *FollowArgs, reply *FollowReply) error {
 	if args.From != "" {
-		c.daemon.notePeerRevision(args.After, args.From)
+		c.daemon.notePeerPosition(args.Since, args.From)
 	}
-	*reply = c.daemon.awaitChanges(c.ctx, args.After, min(args.Wait, maxFollowWait))
+	*reply = c.daemon.awaitChanges(c.ctx, args.Since, min(args.Wait, maxFollowWait))
 	return nil
 }
 
-// Sync returns the changes after a revision at once.
+// Sync returns the changes after a position at once.
 func (c *PeerConn) Sync(args *SyncArgs, reply *SyncReply) error {
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.Update = c.daemon.replica.Since(args.After)
+	reply.Update = c.daemon.replica.Since(args.Since.Revision)
 	return nil
 }
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -65,6 +65,7 @@
 		switch {
 		case err == nil:
 			d.recordStoreRead(failures)
+			d.logStoreEra(update)
 			changes := d.apply(update, "store")
 			if changes > 0 {
 				d.notifyPeers()
@@ -75,7 +76,7 @@
 			needList, failures = false, 0
 			continue
 		case errors.Is(err, ErrCompacted):
-			d.log.Info(eventCompacted, zap.Int64("revision", d.asOf()))
+			d.log.Info(eventCompacted, positionField(d.position()), zap.Int64("store_era", update.At.Era))
 			needList = true
 			continue
 		case d.ctx.Err() != nil:
@@ -87,6 +88,18 @@
 	}
 }
 
+// logStoreEra logs that the store was restored, or that its listing is older than the replica.
+func (d *Daemon) logStoreEra(update replica.Update) {
+	at := d.position()
+	switch {
+	case at.IsZero():
+	case update.At.Era > at.Era:
+		d.log.Warn(eventStoreRestored, positionField(at), zap.Int64("store_era", update.At.Era), zap.Int64("store_revision", update.At.Revision))
+	case update.Whole && update.At.Before(at):
+		d.log.Warn(eventListingIgnored, positionField(at), zap.Int64("store_era", update.At.Era), zap.Int64("store_revision", update.At.Revision))
+	}
+}
+
 func readResult(err error) string {
 	switch {
 	case err == nil:
@@ -126,13 +139,13 @@
 	wait := d.randomWatchTime()
 	ctx, cancel := context.WithTimeout(d.ctx, wait+watchSlack)
 	defer cancel()
-	return d.opts.Store.Watch(ctx, d.asOf(), wait)
+	return d.opts.Store.Watch(ctx, d.position().Revision, wait)
 }
 
-func (d *Daemon) asOf() int64 {
+func (d *Daemon) position() replica.Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.replica.AsOf()
+	return d.replica.At()
 }
 
 func (d *Daemon) recordStoreRead(failures int) {
@@ -168,7 +181,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	changed := d.replica.Apply(update)
-	asOf := d.replica.AsOf()
+	at := d.replica.At()
 	if len(changed) > 0 {
 		d.wakeFollowers()
 	}
@@ -177,23 +190,23 @@
 		change, err := d.opts.Decoder.Decode(now, item)
 		if err != nil {
 			d.metrics.Count(metricUnreadableItems)
-			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), zap.Int64("revision", item.Revision), errorField(err))
+			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), positionField(replica.Position{Era: at.Era, Revision: item.Revision}), errorField(err))
 		}
-		d.change(now, change, item.Revision, source)
+		d.change(now, change, replica.Position{Era: at.Era, Revision: item.Revision}, source)
 	}
 	if len(changed) > 0 {
-		d.log.Debug(eventUpdated, zap.String("source", source), zap.Int64("revision", asOf), zap.Int("changes", len(changed)))
+		d.log.Debug(eventUpdated, zap.String("source", source), positionField(at), zap.Int("changes", len(changed)))
 	}
 	return len(changed)
 }
 
-// notifyPeers sends the revision of the replica to some peers, whose watches may have missed
+// notifyPeers sends the position of the replica to some peers, whose watches may have missed
 // the latest changes. They fetch the changes that they lack, and notify others.
 func (d *Daemon) notifyPeers() {
 	d.mu.Lock()
 	addresses := d.peerAddresses()
 	d.opts.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	args := &PingArgs{AsOf: d.replica.AsOf(), From: d.settings.BackendAddress}
+	args := &PingArgs{At: d.replica.At(), From: d.settings.BackendAddress}
 	d.mu.Unlock()
 	for _, address := range addresses[:min(notifiedPeers, len(addresses))] {
 		d.workers.Go(func() {
@@ -218,12 +231,12 @@
 }
 
 // change puts one change in force.
-func (d *Daemon) change(now time.Time, c Change, revision int64, source string) {
+func (d *Daemon) change(now time.Time, c Change, at replica.Position, source string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case c.Config != nil:
-		d.configure(c.Config, revision, source)
+		d.configure(c.Config, at, source)
 	case c.Upstream != nil:
 		u := *c.Upstream
 		d.dir.Put(u)
@@ -235,7 +248,7 @@
 			}
 		}
 		d.log.Info(eventListed, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
-			zap.Bool("draining", u.Draining), zap.Int64("incarnation", u.Incarnation), zap.Int64("revision", revision), zap.String("source", source))
+			zap.Bool("draining", u.Draining), zap.Int64("incarnation", u.Incarnation), zap.Int64("sequence", u.Sequence), positionField(at), zap.String("source", source))
 	case c.Unlisted != "":
 		local, _ := d.dir.At(d.settings.BackendAddress)
 		d.dir.Remove(now, c.Unlisted)
@@ -244,32 +257,32 @@
 		}
 		d.dispatcher.Prune()
 		d.log.Info(eventRemoved, zap.String("upstream", c.Unlisted), zap.Bool("store_away", d.storeUnavailable),
-			zap.Int64("revision", revision), zap.String("source", source))
+			positionField(at), zap.String("source", source))
 	}
 }
 
 // configure puts a configuration in force if it is newer and valid. d.mu is held.
-func (d *Daemon) configure(config *routing.Config, revision int64, source string) {
+func (d *Daemon) configure(config *routing.Config, at replica.Position, source string) {
 	if t := d.table(); t != nil && config.Version <= t.Config().Version {
 		return
 	}
 	if err := config.Check(); err != nil {
 		d.metrics.Count(metricConfigs, "refused")
-		d.log.Error(eventConfigRefused, zap.Uint64("version", config.Version), zap.Int64("revision", revision), errorField(err))
+		d.log.Error(eventConfigRefused, zap.Uint64("version", config.Version), positionField(at), errorField(err))
 		return
 	}
 	d.routes.Store(routing.NewTable(config))
 	d.splitter.Prune(config)
 	d.metrics.Count(metricConfigs, "in_force")
 	d.log.Info(eventConfig, zap.Uint64("version", config.Version), zap.Int("routes", len(config.Routes)),
-		zap.Int64("revision", revision), zap.String("source", source))
+		positionField(at), zap.String("source", source))
 }
 
-// notePeerRevision records the revision of a peer's replica. If it is newer than this daemon's,
+// notePeerPosition records the position of a peer's replica. If it is newer than this daemon's,
 // the changes are fetched from the peer. upstream is the address of the upstream on its VM.
-func (d *Daemon) notePeerRevision(asOf int64, upstream string) {
+func (d *Daemon) notePeerPosition(at replica.Position, upstream string) {
 	d.mu.Lock()
-	newer := asOf > d.replica.AsOf() && d.newerPeer == ""
+	newer := at.Revision > d.replica.At().Revision && d.newerPeer == ""
 	if newer {
 		d.newerPeer = upstream
 	}
@@ -315,7 +328,7 @@
 	switch {
 	case newer != "":
 		return d.peerAddress(newer)
-	case !d.storeUnavailable && d.replica.AsOf() > 0:
+	case !d.storeUnavailable && !d.replica.At().IsZero():
 		return ""
 	}
 	candidates := d.peerAddresses()
@@ -335,7 +348,7 @@
 func (d *Daemon) syncFrom(address string) {
 	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 	defer cancel()
-	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{After: d.asOf()})
+	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{Since: d.position()})
 	if err != nil {
 		d.metrics.Count(metricSyncs, "failed")
 		return
