--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -108,8 +108,9 @@
 	return unlisted
 }
 
-// Since returns the changes after a revision. Items is empty when nothing changed.
-func (r *Replica) Since(revision int64) Update {
+// Since returns the changes after a position. Items is empty when nothing changed.
+func (r *Replica) Since(at Position) Update {
+	revision := at.Revision
 	update := Update{At: r.at, Whole: revision < r.removalsSince || revision == 0}
 	for _, item := range r.items {
 		if update.Whole || item.Revision > revision {
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -37,8 +37,8 @@
 		r.Apply(Update{Items: []Item{storedItem("a", 1), storedItem("b", 2)}, At: Position{Revision: 2}, Whole: true})
 		changed := r.Apply(Update{Items: []Item{storedItem("b", 2), storedItem("c", 9)}, At: Position{Revision: 8}, Whole: true})
 		So(changed, ShouldHaveLength, 2)
-		So(r.Since(8).Items, ShouldResemble, []Item{storedItem("c", 9)})
-		So(r.Since(2).Whole, ShouldBeTrue)
+		So(r.Since(Position{Revision: 8}).Items, ShouldResemble, []Item{storedItem("c", 9)})
+		So(r.Since(Position{Revision: 2}).Whole, ShouldBeTrue)
 	})
 }
 
@@ -56,14 +56,14 @@
 			}
 			source.Apply(Update{Items: []Item{item}, At: Position{Revision: revision}})
 			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
-				peer.Apply(source.Since(peer.At().Revision))
+				peer.Apply(source.Since(peer.At()))
 			}
 		}
-		peer.Apply(source.Since(peer.At().Revision))
-		fresh.Apply(source.Since(0))
+		peer.Apply(source.Since(peer.At()))
+		fresh.Apply(source.Since(Position{}))
 		for _, replica := range []*Replica{&peer, &fresh} {
-			if fmt.Sprint(replica.Since(0).Items) != fmt.Sprint(source.Since(0).Items) || replica.At() != source.At() {
-				t.Fatalf("copy %v, source %v", replica.Since(0), source.Since(0))
+			if fmt.Sprint(replica.Since(Position{}).Items) != fmt.Sprint(source.Since(Position{}).Items) || replica.At() != source.At() {
+				t.Fatalf("copy %v, source %v", replica.Since(Position{}), source.Since(Position{}))
 			}
 		}
 	})
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -108,7 +108,7 @@
 		changed := d.changed
 		reply := FollowReply{Watching: d.watching && !d.stopping, Doubtful: d.dir.Doubtful(time.Now())}
 		if d.replica.At().Revision > after.Revision {
-			reply.Update = d.replica.Since(after.Revision)
+			reply.Update = d.replica.Since(after)
 		}
 		d.mu.Unlock()
 		if !reply.Watching || len(reply.Update.Items) > 0 {
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -178,6 +178,6 @@
 func (c *PeerConn) Sync(args *SyncArgs, reply *SyncReply) error {
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.Update = c.daemon.replica.Since(args.Since.Revision)
+	reply.Update = c.daemon.replica.Since(args.Since)
 	return nil
 }
