Order states of the store by era and revision

Cause: the copy of the store, and the exchange between daemons, ordered states by revision alone.

Change: replica.Position is ordered by era first, in Apply, Since, Follow, Ping and the replies of peers. The complete state of a later era replaces a copy of an earlier one, at any revision; nothing of an earlier era is applied. A watch whose answer is of another era needs a complete listing, and a listing that is older than the replica counts as a failed read, with a pause before the next.

TestRestoredState asked Since for single changes from before a complete listing, which always gets the complete state; its copy now receives the last change after the listing.

--- a/core/replica/era_test.go
+++ b/core/replica/era_test.go
@@ -13,7 +13,8 @@
 func TestRestoredState(t *testing.T) {
 	Convey("Given a copy at revision 5 of the first era", t, func() {
 		var r Replica
-		r.Apply(Update{Items: []Item{storedItem("a", 2), storedItem("b", 4), storedItem("c", 5)}, At: Position{1, 5}, Whole: true})
+		r.Apply(Update{Items: []Item{storedItem("a", 2), storedItem("b", 4)}, At: Position{1, 4}, Whole: true})
+		r.Apply(Update{Items: []Item{storedItem("c", 5)}, At: Position{1, 5}})
 		Convey("a listing of the next era replaces it, at any revision", func() {
 			for _, revision := range []int64{3, 5, 9} {
 				restored := r
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -1,13 +1,17 @@
 // Package replica keeps a read-only copy of the items of a store that orders its
-// changes by one revision counter.
+// changes by one revision counter, and by the era when it is restored from an older copy.
 //
 // A copy is updated from the store itself or from a peer that holds a newer copy; both
-// supply Updates. The state is always that of one revision, except that the items of a
-// complete listing may be newer than the revision of the listing; later updates contain
-// these changes again. A Replica is not safe for concurrent use.
+// supply Updates. The state is always that of one position, except that the items of a
+// complete listing may be newer than the position of the listing; later updates contain
+// these changes again. All items of a copy are of one era. A Replica is not safe for
+// concurrent use.
 package replica
 
-import "sort"
+import (
+	"bytes"
+	"sort"
+)
 
 // maxRemovals is the maximum number of removals that are kept. A peer whose revision is
 // older than the removals that are kept receives the complete state.
@@ -22,7 +26,7 @@
 	Removed  bool
 }
 
-// Update holds the changes that bring a copy to a revision.
+// Update holds the changes that bring a copy to a position. All items are of its era.
 type Update struct {
 	Items []Item
 	// At is the position of the copy after the update.
@@ -45,13 +49,20 @@
 func (r *Replica) At() Position { return r.at }
 
 // Apply applies an update that is newer than the copy and returns the items that changed.
-// Older updates change nothing, nor does an incremental one of the same revision.
+// Older updates change nothing, nor does an incremental one of the same position or of a
+// later era: only the complete state of an era can replace a copy of an earlier one.
 func (r *Replica) Apply(update Update) []Item {
 	if r.items == nil {
 		r.items = make(map[string]Item)
 	}
-	if update.At.Revision < r.at.Revision || update.At.Revision == r.at.Revision && !update.Whole {
+	switch {
+	case update.At.Before(r.at) || update.At == r.at && !update.Whole:
 		return nil
+	case update.At.Era != r.at.Era && !r.at.IsZero():
+		if !update.Whole {
+			return nil
+		}
+		return r.replace(update)
 	}
 	var changed []Item
 	for _, item := range update.Items {
@@ -66,6 +77,26 @@
 	return changed
 }
 
+// replace replaces the copy by the complete state of a later era and returns the items whose
+// content differs. Revisions of different eras can't be compared.
+func (r *Replica) replace(update Update) []Item {
+	previous := r.items
+	*r = Replica{items: make(map[string]Item, len(update.Items)), removalsSince: update.At.Revision, at: update.At}
+	var changed []Item
+	for _, item := range update.Items {
+		r.items[item.Key] = item
+		if known, ok := previous[item.Key]; !ok || !bytes.Equal(known.Value, item.Value) {
+			changed = append(changed, item)
+		}
+	}
+	for key := range previous {
+		if _, listed := r.items[key]; !listed {
+			changed = append(changed, Item{Key: key, Revision: update.At.Revision, Removed: true})
+		}
+	}
+	return changed
+}
+
 func (r *Replica) applyItem(item Item) bool {
 	current, known := r.items[item.Key]
 	if known && current.Revision >= item.Revision {
@@ -108,10 +139,14 @@
 	return unlisted
 }
 
-// Since returns the changes after a position. Items is empty when nothing changed.
+// Since returns the changes after a position. Items is empty when nothing changed, and when
+// the position is of a later era than the copy.
 func (r *Replica) Since(at Position) Update {
+	if at.Era > r.at.Era {
+		return Update{At: r.at}
+	}
 	revision := at.Revision
-	update := Update{At: r.at, Whole: revision < r.removalsSince || revision == 0}
+	update := Update{At: r.at, Whole: at.Era != r.at.Era || revision < r.removalsSince || revision == 0}
 	for _, item := range r.items {
 		if update.Whole || item.Revision > revision {
 			update.Items = append(update.Items, item)
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -12,7 +12,7 @@
 	eventListenerFailed = "listener failed"
 	eventStoreLost      = "store lost"
 	eventStoreRecovered = "store regained"
-	eventCompacted      = "store history compacted"
+	eventListNeeded     = "complete listing needed"
 	eventStoreRestored  = "store restored from an older copy"
 	eventListingIgnored = "listing older than the replica"
 	eventSourceFailed   = "source failed"
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -107,11 +107,11 @@
 		d.mu.Lock()
 		changed := d.changed
 		reply := FollowReply{Watching: d.watching && !d.stopping, Doubtful: d.dir.Doubtful(time.Now())}
-		if d.replica.At().Revision > after.Revision {
+		if after.Before(d.replica.At()) {
 			reply.Update = d.replica.Since(after)
 		}
 		d.mu.Unlock()
-		if !reply.Watching || len(reply.Update.Items) > 0 {
+		if !reply.Watching || reply.Update.Whole || len(reply.Update.Items) > 0 {
 			return reply
 		}
 		select {
--- a/mesh/interfaces.go
+++ b/mesh/interfaces.go
@@ -75,9 +75,10 @@
 type Store interface {
 	// List returns the complete state. Items may be newer than the position of the update.
 	List(ctx context.Context) (replica.Update, error)
-	// Watch returns the changes after a revision of the current era. It waits for the first one
-	// for the given time, and returns an empty update if there was none. Errors include
-	// ErrCompacted. Together with an error, the update holds the era that the answer states.
+	// Watch returns the changes after a revision. It waits for the first one for the given
+	// time, and returns an empty update if there was none. Errors include ErrCompacted. The
+	// update states the era of the answer, also together with an error; if it is not the era
+	// of the revision, the store has been restored and the changes can't be used.
 	Watch(ctx context.Context, after int64, wait time.Duration) (replica.Update, error)
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -48,6 +48,14 @@
 	storeDeliveryDelay = 100 * time.Millisecond
 )
 
+var (
+	// errOtherEra says that the store was restored: the changes that it returned are of another
+	// era than the replica.
+	errOtherEra = errors.New("the store is in another era than the replica")
+	// errOldListing says that a listing is older than the replica, which a peer has updated.
+	errOldListing = errors.New("the listing is older than the replica")
+)
+
 // storeLoop keeps the replica up to date from the store, or from a daemon that watches the
 // store.
 func (d *Daemon) storeLoop() {
@@ -65,7 +73,6 @@
 		switch {
 		case err == nil:
 			d.recordStoreRead(failures)
-			d.logStoreEra(update)
 			changes := d.apply(update, "store")
 			if changes > 0 {
 				d.notifyPeers()
@@ -75,8 +82,8 @@
 			}
 			needList, failures = false, 0
 			continue
-		case errors.Is(err, ErrCompacted):
-			d.log.Info(eventCompacted, positionField(d.position()), zap.Int64("store_era", update.At.Era))
+		case errors.Is(err, ErrCompacted), errors.Is(err, errOtherEra):
+			d.log.Info(eventListNeeded, positionField(d.position()), zap.Int64("store_era", update.At.Era), errorField(err))
 			needList = true
 			continue
 		case d.ctx.Err() != nil:
@@ -88,24 +95,14 @@
 	}
 }
 
-// logStoreEra logs that the store was restored, or that its listing is older than the replica.
-func (d *Daemon) logStoreEra(update replica.Update) {
-	at := d.position()
-	switch {
-	case at.IsZero():
-	case update.At.Era > at.Era:
-		d.log.Warn(eventStoreRestored, positionField(at), zap.Int64("store_era", update.At.Era), zap.Int64("store_revision", update.At.Revision))
-	case update.Whole && update.At.Before(at):
-		d.log.Warn(eventListingIgnored, positionField(at), zap.Int64("store_era", update.At.Era), zap.Int64("store_revision", update.At.Revision))
-	}
-}
-
 func readResult(err error) string {
 	switch {
 	case err == nil:
 		return "ok"
 	case errors.Is(err, ErrCompacted):
 		return "compacted"
+	case errors.Is(err, errOtherEra):
+		return "other_era"
 	}
 	return "failed"
 }
@@ -130,16 +127,31 @@
 	return min(wait, maxWatchTime)
 }
 
+// readStore reads the complete state, or the changes after the position of the replica.
 func (d *Daemon) readStore(needList bool) (replica.Update, error) {
 	if needList {
-		ctx, cancel := context.WithTimeout(d.ctx, listTimeout)
-		defer cancel()
-		return d.opts.Store.List(ctx)
+		return d.listStore()
 	}
 	wait := d.randomWatchTime()
 	ctx, cancel := context.WithTimeout(d.ctx, wait+watchSlack)
 	defer cancel()
-	return d.opts.Store.Watch(ctx, d.position().Revision, wait)
+	at := d.position()
+	update, err := d.opts.Store.Watch(ctx, at.Revision, wait)
+	if err == nil && update.At.Era != at.Era {
+		err = errOtherEra
+	}
+	return update, err
+}
+
+func (d *Daemon) listStore() (replica.Update, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, listTimeout)
+	defer cancel()
+	update, err := d.opts.Store.List(ctx)
+	if at := d.position(); err == nil && update.At.Before(at) {
+		d.log.Warn(eventListingIgnored, positionField(at), zap.Int64("store_era", update.At.Era), zap.Int64("store_revision", update.At.Revision))
+		err = errOldListing
+	}
+	return update, err
 }
 
 func (d *Daemon) position() replica.Position {
@@ -180,12 +192,17 @@
 func (d *Daemon) apply(update replica.Update, source string) int {
 	now := time.Now()
 	d.mu.Lock()
+	previous := d.replica.At()
 	changed := d.replica.Apply(update)
 	at := d.replica.At()
 	if len(changed) > 0 {
 		d.wakeFollowers()
 	}
 	d.mu.Unlock()
+	if at.Era != previous.Era && !previous.IsZero() {
+		d.log.Warn(eventStoreRestored, positionField(at), zap.Int64("previous_era", previous.Era),
+			zap.Int64("previous_revision", previous.Revision), zap.Int("changes", len(changed)), zap.String("source", source))
+	}
 	for _, item := range changed {
 		change, err := d.opts.Decoder.Decode(now, item)
 		if err != nil {
@@ -282,7 +299,7 @@
 // the changes are fetched from the peer. upstream is the address of the upstream on its VM.
 func (d *Daemon) notePeerPosition(at replica.Position, upstream string) {
 	d.mu.Lock()
-	newer := at.Revision > d.replica.At().Revision && d.newerPeer == ""
+	newer := d.replica.At().Before(at) && d.newerPeer == ""
 	if newer {
 		d.newerPeer = upstream
 	}
