Probe the store after failed reads instead of waiting for changes

A daemon whose watch was cut, and that connects again after the store was restored, asks for the changes after its revision. If the store assigned that revision again meanwhile, the watch waits for the next change, up to 20 s in a large fleet, and the change that has the revision is not read until then.

The first watch after a failed read lasts 1 ms. It shows the era of the store, and a complete listing follows if that is another one. This costs one read for each recovery.

--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -29,6 +29,8 @@
 	// changeGroupPause is the pause after a watch that returned changes, because changes often
 	// come in groups.
 	changeGroupPause = 100 * time.Millisecond
+	// probeTime is the duration of a watch that only shows whether the store answers.
+	probeTime = time.Millisecond
 	// watchSlack is how long after the end of a watch its answer may still arrive.
 	watchSlack = 700 * time.Millisecond
 	// listTimeout limits the time for reading the complete state.
@@ -68,7 +70,7 @@
 				continue
 			}
 		}
-		update, err := d.readStore(needList)
+		update, err := d.readStore(needList, failures > 0)
 		d.metrics.Count(metricReads, readResult(err))
 		switch {
 		case err == nil:
@@ -127,12 +129,17 @@
 	return min(wait, maxWatchTime)
 }
 
-// readStore reads the complete state, or the changes after the position of the replica.
-func (d *Daemon) readStore(needList bool) (replica.Update, error) {
+// readStore reads the complete state, or the changes after the position of the replica. With
+// probe, it does not wait for changes: after failed reads, the store may have been restored and
+// have assigned the replica's revision again, so that a watch from there misses changes.
+func (d *Daemon) readStore(needList, probe bool) (replica.Update, error) {
 	if needList {
 		return d.listStore()
 	}
 	wait := d.randomWatchTime()
+	if probe {
+		wait = probeTime
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, wait+watchSlack)
 	defer cancel()
 	at := d.position()
