Keep upstreams that a restored store does not list yet

A store that is restored from an older copy lacks the upstreams that registered since. They were removed at once, although they run and write their entries again within about two seconds, unless the daemon itself had seen two failed reads.

A new era now counts as a recovery of the store, on daemons that watch it and on those that receive the state from a peer: missing entries stay in use for RecoveryGrace.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -3,7 +3,8 @@
 //
 // Entries come from a store in which each upstream renews its own. An entry that disappears
 // normally means that the upstream left. During an outage of the store, entries also lapse
-// because upstreams could not renew them. Such entries stay in use until the store has been
+// because upstreams could not renew them, and a store that is restored from an older copy
+// lacks the entries that were written since. Such entries stay in use until the store has been
 // available again for RecoveryGrace. A Directory is not safe for concurrent use.
 package directory
 
@@ -115,6 +116,10 @@
 	}
 }
 
+// MarkStoreRestored records that the store continues from an older copy, which lacks the
+// upstreams that registered since. As after an outage, the grace begins.
+func (d *Directory) MarkStoreRestored(now time.Time) { d.recoveredAt = now }
+
 // ExtendGrace makes the grace last for at least the time left from now on, because the store
 // has recently recovered for the daemon from which this one receives changes.
 func (d *Directory) ExtendGrace(now time.Time, left time.Duration) {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -76,6 +76,18 @@
 	})
 }
 
+// Guards against dropping upstreams that a store restored from an older copy does not list yet.
+func TestMissingFromRestoredStore(t *testing.T) {
+	Convey("An upstream that the restored store lacks stays for RecoveryGrace", t, func() {
+		d := twoUpstreams()
+		d.MarkStoreRestored(start)
+		d.Remove(start, "u1")
+		So(servingIDs(d, "s"), ShouldResemble, []string{"u1", "u2"})
+		So(d.Doubtful(start), ShouldEqual, RecoveryGrace)
+		So(d.Expire(start.Add(RecoveryGrace)), ShouldResemble, []string{"u1"})
+	})
+}
+
 // Guards against sending requests for one service to an address that another one has taken
 // over, and against an old entry that replaces a newer incarnation.
 func TestAddressReused(t *testing.T) {
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -202,11 +202,15 @@
 	previous := d.replica.At()
 	changed := d.replica.Apply(update)
 	at := d.replica.At()
+	restored := at.Era != previous.Era && !previous.IsZero()
+	if restored {
+		d.dir.MarkStoreRestored(now)
+	}
 	if len(changed) > 0 {
 		d.wakeFollowers()
 	}
 	d.mu.Unlock()
-	if at.Era != previous.Era && !previous.IsZero() {
+	if restored {
 		d.log.Warn(eventStoreRestored, positionField(at), zap.Int64("previous_era", previous.Era),
 			zap.Int64("previous_revision", previous.Revision), zap.Int("changes", len(changed)), zap.String("source", source))
 	}
