Directory: an outdated entry removes no other upstream

Put first removed the upstream at the address of the new entry, then returned if a later incarnation of the entry's own upstream was known. The upstream at that address was gone from the directory, while Serving still returned it from its index.

Both checks now come before any change. TestOutdatedEntryChangesNothing failed before: no upstream was known at the address.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -67,22 +67,32 @@
 // has ended and is removed. Put does nothing if a later incarnation is known, of this
 // upstream or, unless it has lapsed, of another one at the address.
 func (d *Directory) Put(u Upstream) {
+	if d.outdated(u) {
+		return
+	}
 	for id, e := range d.entries {
-		if id == u.ID || e.Address != u.Address {
-			continue
-		}
-		if e.Incarnation > u.Incarnation && !e.lapsed {
-			return
+		if id != u.ID && e.Address == u.Address {
+			delete(d.entries, id)
 		}
-		delete(d.entries, id)
-	}
-	if existing := d.entries[u.ID]; existing != nil && existing.Incarnation > u.Incarnation {
-		return
 	}
 	d.entries[u.ID] = &entry{Upstream: u}
 	d.byService = nil
 }
 
+// outdated reports whether a later incarnation than that of u is known, of this upstream or,
+// unless it has lapsed, of another one at the address.
+func (d *Directory) outdated(u Upstream) bool {
+	if known := d.entries[u.ID]; known != nil && known.Incarnation > u.Incarnation {
+		return true
+	}
+	for id, e := range d.entries {
+		if id != u.ID && e.Address == u.Address && e.Incarnation > u.Incarnation && !e.lapsed {
+			return true
+		}
+	}
+	return false
+}
+
 // Remove records that the store does not list an upstream any more. The upstream is removed
 // at once if it is draining, or if now is outside the grace; otherwise its entry lapses.
 func (d *Directory) Remove(now time.Time, id string) {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -76,6 +76,20 @@
 	})
 }
 
+// Guards against an outdated entry that removes the upstream at the address it names.
+func TestOutdatedEntryChangesNothing(t *testing.T) {
+	Convey("An entry of an earlier incarnation leaves the upstream at its former address in use", t, func() {
+		d := twoUpstreams()
+		d.Put(Upstream{ID: "u1", Service: "s", Address: "3:1", Incarnation: 30})
+		d.Put(Upstream{ID: "v1", Service: "s", Address: "1:1", Incarnation: 15})
+		So(servingIDs(d, "s"), ShouldResemble, []string{"u1", "u2", "v1"})
+		d.Put(Upstream{ID: "u1", Service: "s", Address: "1:1", Incarnation: 20})
+		_, known := d.At("1:1")
+		So(known, ShouldBeTrue)
+		So(servingIDs(d, "s"), ShouldResemble, []string{"u1", "u2", "v1"})
+	})
+}
+
 // Guards against dropping upstreams that a store restored from an older copy does not list yet.
 func TestMissingFromRestoredStore(t *testing.T) {
 	Convey("An upstream that the restored store lacks stays for RecoveryGrace", t, func() {
