Order an upstream's entries by its incarnation and sequence number

A store that is restored from an older copy lists upstreams that drained or left since as ready. They were put back into use.

Cause: the order of an upstream's entries was that of the store's revisions. A listed entry keeps the number of its latest change of content.

Change: Directory.Put takes an entry only if none with a later incarnation or sequence number of the upstream is known. New lines: 'upstream entry outdated' and 'upstream relisted'.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -39,6 +39,14 @@
 	WarmAt time.Time
 }
 
+// before reports whether u is an earlier entry of the same upstream than v.
+func (u Upstream) before(v Upstream) bool {
+	if u.Incarnation != v.Incarnation {
+		return u.Incarnation < v.Incarnation
+	}
+	return u.Incarnation > 0 && u.Sequence > 0 && u.Sequence < v.Sequence
+}
+
 // entry is an upstream, with its state while the store does not list it.
 type entry struct {
 	Upstream
@@ -54,6 +62,7 @@
 	// one ended; ExtendGrace can move it on.
 	storeUnavailable bool
 	recoveredAt      time.Time
+	departures       departures
 	// byService holds the result of Serving, nil if it is out of date.
 	byService map[string][]Upstream
 }
@@ -64,12 +73,18 @@
 }
 
 // Put adds or replaces an upstream. An upstream at the same address that started earlier
-// has ended and is removed. Put does nothing if a later incarnation is known, of this
-// upstream or, unless it has lapsed, of another one at the address.
-func (d *Directory) Put(u Upstream) {
+// has ended and is removed. Put does nothing and returns false if a later entry of the upstream
+// is known, if the upstream left after it wrote the entry, or if a later incarnation of another
+// upstream is at the address and has not lapsed.
+func (d *Directory) Put(u Upstream) bool {
 	if d.outdated(u) {
-		return
+		return false
 	}
+	if d.departures.include(u) {
+		d.departures.relist(u)
+		return false
+	}
+	d.departures.forget(u.ID)
 	for id, e := range d.entries {
 		if id != u.ID && e.Address == u.Address {
 			delete(d.entries, id)
@@ -77,12 +92,14 @@
 	}
 	d.entries[u.ID] = &entry{Upstream: u}
 	d.byService = nil
+	return true
 }
 
-// outdated reports whether a later incarnation than that of u is known, of this upstream or,
-// unless it has lapsed, of another one at the address.
+// outdated reports whether something later than the entry u is known. Entries of an upstream
+// are ordered by what it states itself: a store that is restored from an older copy lists
+// earlier entries again.
 func (d *Directory) outdated(u Upstream) bool {
-	if known := d.entries[u.ID]; known != nil && known.Incarnation > u.Incarnation {
+	if known := d.entries[u.ID]; known != nil && u.before(known.Upstream) {
 		return true
 	}
 	for id, e := range d.entries {
@@ -96,6 +113,7 @@
 // Remove records that the store does not list an upstream any more. The upstream is removed
 // at once if it is draining, or if now is outside the grace; otherwise its entry lapses.
 func (d *Directory) Remove(now time.Time, id string) {
+	delete(d.departures.relisted, id)
 	e := d.entries[id]
 	if e == nil {
 		return
@@ -106,7 +124,13 @@
 		}
 		return
 	}
-	delete(d.entries, id)
+	d.drop(e)
+}
+
+// drop removes an upstream that left.
+func (d *Directory) drop(e *entry) {
+	d.departures.add(e.Upstream)
+	delete(d.entries, e.ID)
 	d.byService = nil
 }
 
@@ -117,7 +141,10 @@
 }
 
 // MarkStoreUnavailable records that the store does not answer.
-func (d *Directory) MarkStoreUnavailable() { d.storeUnavailable = true }
+func (d *Directory) MarkStoreUnavailable() {
+	d.storeUnavailable = true
+	d.departures.restartRelisting()
+}
 
 // MarkStoreAvailable records that the store answers. After an outage, the grace begins.
 func (d *Directory) MarkStoreAvailable(now time.Time) {
@@ -161,14 +188,29 @@
 	var expired []string
 	for id, e := range d.entries {
 		if e.lapsed && (!inGrace || now.Sub(e.lapsedAt) >= RecoveryGrace) {
-			delete(d.entries, id)
+			d.drop(e)
 			expired = append(expired, id)
-			d.byService = nil
 		}
 	}
 	return expired
 }
 
+// Relist puts back the upstreams that left according to an earlier state of the store, that a
+// restored store lists, and whose entries it has kept for longer than lifetime and
+// RecoveryGrace. lifetime is the time after which the store removes an entry that is not renewed.
+// It returns the upstreams.
+func (d *Directory) Relist(now time.Time, lifetime time.Duration) []Upstream {
+	if d.storeUnavailable {
+		return nil
+	}
+	renewed := d.departures.renewed(now, lifetime+RecoveryGrace)
+	for _, u := range renewed {
+		d.departures.forget(u.ID)
+		d.Put(u)
+	}
+	return renewed
+}
+
 // Serving returns the upstreams of a service that take new work, ordered by ID. The caller
 // must not change the slice.
 func (d *Directory) Serving(service string) []Upstream {
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -60,6 +60,9 @@
 	RetryWindow            time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// EntryLifetime is the time after which the store removes the entry of an upstream that does
+	// not renew it.
+	EntryLifetime time.Duration
 }
 
 // Options holds the settings of a daemon and its dependencies.
@@ -332,6 +335,11 @@
 	d.deliverDecisions(d.limiter.Tick(now))
 	d.tickGate(now)
 	expired := d.dir.Expire(now)
+	for _, u := range d.dir.Relist(now, d.settings.EntryLifetime) {
+		d.applyListed(u)
+		d.log.Info(eventRelisted, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
+			zap.Int64("incarnation", u.Incarnation), zap.Int64("sequence", u.Sequence))
+	}
 	if len(expired) > 0 {
 		d.dispatcher.Prune()
 	}
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -21,6 +21,8 @@
 	eventConfig         = "configuration in force"
 	eventConfigRefused  = "configuration refused"
 	eventListed         = "upstream listed"
+	eventRelisted       = "upstream relisted"
+	eventOutdated       = "upstream entry outdated"
 	eventRemoved        = "upstream removed"
 	eventExpired        = "upstream gone"
 	eventPeerSilent     = "peer connection silent"
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/watchers"
@@ -267,15 +268,12 @@
 		d.configure(c.Config, at, source)
 	case c.Upstream != nil:
 		u := *c.Upstream
-		d.dir.Put(u)
-		d.setOriginVMs()
-		if u.Address == d.settings.BackendAddress {
-			d.limiter.SetSlots(u.Slots)
-			if u.Draining {
-				d.deliverDecisions(d.limiter.Evict())
-			}
+		event := eventOutdated
+		if d.dir.Put(u) {
+			event = eventListed
+			d.applyListed(u)
 		}
-		d.log.Info(eventListed, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
+		d.log.Info(event, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
 			zap.Bool("draining", u.Draining), zap.Int64("incarnation", u.Incarnation), zap.Int64("sequence", u.Sequence), positionField(at), zap.String("source", source))
 	case c.Unlisted != "":
 		local, _ := d.dir.At(d.settings.BackendAddress)
@@ -289,6 +287,17 @@
 	}
 }
 
+// applyListed puts an upstream that was added or replaced in force. d.mu is held.
+func (d *Daemon) applyListed(u directory.Upstream) {
+	d.setOriginVMs()
+	if u.Address == d.settings.BackendAddress {
+		d.limiter.SetSlots(u.Slots)
+		if u.Draining {
+			d.deliverDecisions(d.limiter.Evict())
+		}
+	}
+}
+
 // configure puts a configuration in force if it is newer and valid. d.mu is held.
 func (d *Daemon) configure(config *routing.Config, at replica.Position, source string) {
 	if t := d.table(); t != nil && config.Version <= t.Config().Version {
