Pass the newest configuration to peers that have an older one

A daemon that started after the store was restored from an older copy served the configuration of the copy until the operator's next write, although all its peers had a newer one in force.

Cause: daemons compared only the position of their copies of the store, which is the same for all after a restore; the configuration in force is kept by version and may be newer than the store's.

Messages between daemons carry a replica.State: the position, and the version of the configuration in force. A daemon that has an older version gets the item of the configuration from Sync or Follow, checks it like one from the store, and notifies peers. The reply to a notice shows a daemon that has just started that it lacks something. A configuration that is refused is not requested again.

--- a/core/replica/era_test.go
+++ b/core/replica/era_test.go
@@ -43,6 +43,19 @@
 	})
 }
 
+// Guards against a daemon that takes the state of one that is behind, or misses that of one that
+// is ahead in the store's history or in its configuration.
+func TestStateLacks(t *testing.T) {
+	Convey("A state lacks what is later in era, revision or configuration", t, func() {
+		state := State{At: Position{2, 5}, ConfigVersion: 7}
+		So(state.Lacks(state), ShouldBeFalse)
+		So(state.Lacks(State{At: Position{1, 9}, ConfigVersion: 7}), ShouldBeFalse)
+		So(state.Lacks(State{At: Position{1, 9}, ConfigVersion: 8}), ShouldBeTrue)
+		So(state.Lacks(State{At: Position{2, 6}, ConfigVersion: 1}), ShouldBeTrue)
+		So(state.Lacks(State{At: Position{3, 1}, ConfigVersion: 1}), ShouldBeTrue)
+	})
+}
+
 // Guards against copies that differ from the store after restores, whatever a copy has missed.
 func TestCopiesAgreeAfterRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/replica/position.go
+++ b/core/replica/position.go
@@ -20,5 +20,18 @@
 // Before reports whether p is before q.
 func (p Position) Before(q Position) bool { return p.Compare(q) < 0 }
 
+// State summarises what a daemon has received: the position of its copy of the store, and the
+// version of its configuration. After the store was restored from an older copy, the version
+// can be newer than that in the store.
+type State struct {
+	At            Position
+	ConfigVersion uint64
+}
+
+// Lacks reports whether a daemon with the state other has something that one with s has not.
+func (s State) Lacks(other State) bool {
+	return s.At.Before(other.At) || s.ConfigVersion < other.ConfigVersion
+}
+
 // IsZero reports whether p is before the first change.
 func (p Position) IsZero() bool { return p == Position{} }
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -181,7 +181,7 @@
 	if result == 0 {
 		result = c.classify(&reply)
 	}
-	c.daemon.notePeerPosition(reply.At, step.Upstream.Address)
+	c.daemon.notePeerState(reply.State, c.daemon.peerAddress(step.Upstream.Address))
 	if reply.Outcome != 0 {
 		c.daemon.recordBlocked(c.route, c.outgoing.Service, &reply)
 	}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -95,7 +95,7 @@
 	answers    atomic.Uint64
 	routes     atomic.Pointer[routing.Table]
 
-	mu               sync.Mutex // guards the fields up to newerPeer
+	mu               sync.Mutex // guards the fields up to refusedVersion
 	dir              *directory.Directory
 	replica          replica.Replica
 	splitter         routing.Splitter
@@ -120,7 +120,11 @@
 	watching  bool
 	sources   *watchers.Selector
 	changed   chan struct{} // closed when the replica changes or watching ends
-	newerPeer string        // upstream address of a peer that holds a newer replica
+	newerPeer string        // address of a peer that has newer changes
+	// config is the item of the configuration in force. refusedVersion is the latest version that
+	// a peer has sent and that was refused here.
+	config         *StoredItem
+	refusedVersion uint64
 
 	peersMu sync.Mutex // guards peers
 	peers   map[string]*peer
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -80,6 +80,9 @@
 		return false
 	}
 	d.apply(reply.Update, "watcher "+source)
+	if reply.Config != nil && !d.applyConfig(reply.Config, "watcher "+source) {
+		d.pause(changeGroupPause) // the source replies at once while this daemon has an older one
+	}
 	return true
 }
 
@@ -90,7 +93,7 @@
 	if err != nil {
 		return FollowReply{}, err
 	}
-	args := &FollowArgs{Since: d.position(), Wait: wait, From: d.settings.BackendAddress}
+	args := &FollowArgs{Since: d.requestState(), Wait: wait, From: d.settings.BackendAddress}
 	reply, err := longPollLink[FollowReply](ctx, link, "Follow", args)
 	if err == nil && !reply.Watching {
 		err = errors.New("does not watch the store")
@@ -98,20 +101,18 @@
 	return reply, err
 }
 
-// awaitChanges returns the changes after a position as soon as there are any. It returns none
+// awaitChanges returns the changes after a state as soon as there are any. It returns none
 // if none came within the wait or this daemon does not watch the store.
-func (d *Daemon) awaitChanges(ctx context.Context, after replica.Position, wait time.Duration) FollowReply {
+func (d *Daemon) awaitChanges(ctx context.Context, after replica.State, wait time.Duration) FollowReply {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		d.mu.Lock()
 		changed := d.changed
 		reply := FollowReply{Watching: d.watching && !d.stopping, Doubtful: d.dir.Doubtful(time.Now())}
-		if after.Before(d.replica.At()) {
-			reply.Update = d.replica.Since(after)
-		}
+		reply.Update, reply.Config = d.changesSince(after)
 		d.mu.Unlock()
-		if !reply.Watching || reply.Update.Whole || len(reply.Update.Items) > 0 {
+		if !reply.Watching || reply.Update.Whole || len(reply.Update.Items) > 0 || reply.Config != nil {
 			return reply
 		}
 		select {
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -188,7 +188,7 @@
 	defer d.mu.Unlock()
 	return Reply{
 		Outcome: outcome, Reason: string(decision.Reason), Wait: decision.Wait,
-		Load: d.limiter.Load(), Call: d.callGraph.IsCall(a.kind), Blocked: d.callMeter.Shares(time.Now()), At: d.replica.At(),
+		Load: d.limiter.Load(), Call: d.callGraph.IsCall(a.kind), Blocked: d.callMeter.Shares(time.Now()), State: d.state(),
 	}
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -110,8 +110,8 @@
 	Call bool
 	// Blocked holds the blocked shares of the upstream's calls, by service.
 	Blocked []loadshed.Share
-	// At is the position of the daemon's replica.
-	At replica.Position
+	// State is what the daemon has received from the store.
+	State replica.State
 }
 
 // Answer is the backend server's answer.
@@ -134,15 +134,29 @@
 	Last bool
 }
 
-// SyncArgs requests the changes after a position.
-type SyncArgs struct{ Since replica.Position }
+// StoredItem is an item of the store and the era in which it was read.
+type StoredItem struct {
+	Item replica.Item
+	Era  int64
+}
+
+func (i StoredItem) position() replica.Position {
+	return replica.Position{Era: i.Era, Revision: i.Item.Revision}
+}
+
+// SyncArgs requests the changes after a state.
+type SyncArgs struct{ Since replica.State }
 
 // SyncReply answers SyncArgs.
-type SyncReply struct{ Update replica.Update }
+type SyncReply struct {
+	Update replica.Update
+	// Config is the configuration in force, if it is newer than the sender's and not in Update.
+	Config *StoredItem
+}
 
-// FollowArgs requests the changes after a position and waits for them up to Wait.
+// FollowArgs requests the changes after a state and waits for them up to Wait.
 type FollowArgs struct {
-	Since replica.Position
+	Since replica.State
 	Wait  time.Duration
 	// From is the address of the backend server on the sender's VM.
 	From string
@@ -154,20 +168,22 @@
 	// the sender chooses another source.
 	Watching bool
 	Update   replica.Update
+	// Config is the configuration in force, if it is newer than the sender's and not in Update.
+	Config *StoredItem
 	// Doubtful is how long entries that the store does not list may still belong to running
 	// upstreams, because the store was unavailable.
 	Doubtful time.Duration
 }
 
-// PingArgs tests a connection and carries the position of the sender's replica.
+// PingArgs tests a connection and carries the state of the sender; zero if From is empty.
 type PingArgs struct {
-	At replica.Position
+	State replica.State
 	// From is the address of the backend server on the sender's VM.
 	From string
 }
 
 // PingReply answers a ping, and other messages whose reply has no content.
 type PingReply struct {
-	// At is the position of the daemon's replica.
-	At replica.Position
+	// State is that of the daemon.
+	State replica.State
 }
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -154,30 +154,30 @@
 	return nil
 }
 
-// Ping returns the position of the replica.
+// Ping returns the state of the daemon.
 func (c *PeerConn) Ping(args *PingArgs, reply *PingReply) error {
 	if args.From != "" {
-		c.daemon.notePeerPosition(args.At, args.From)
+		c.daemon.notePeerState(args.State, c.daemon.peerAddress(args.From))
 	}
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.At = c.daemon.replica.At()
+	reply.State = c.daemon.state()
 	return nil
 }
 
-// Follow waits for changes after a position, up to a limit, and returns them.
+// Follow waits for changes after a state, up to a limit, and returns them.
 func (c *PeerConn) Follow(args *FollowArgs, reply *FollowReply) error {
 	if args.From != "" {
-		c.daemon.notePeerPosition(args.Since, args.From)
+		c.daemon.notePeerState(args.Since, c.daemon.peerAddress(args.From))
 	}
 	*reply = c.daemon.awaitChanges(c.ctx, args.Since, min(args.Wait, maxFollowWait))
 	return nil
 }
 
-// Sync returns the changes after a position at once.
+// Sync returns the changes after a state at once.
 func (c *PeerConn) Sync(args *SyncArgs, reply *SyncReply) error {
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.Update = c.daemon.replica.Since(args.Since)
+	reply.Update, reply.Config = c.daemon.changesSince(args.Since)
 	return nil
 }
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -221,7 +221,7 @@
 			d.metrics.Count(metricUnreadableItems)
 			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), positionField(replica.Position{Era: at.Era, Revision: item.Revision}), errorField(err))
 		}
-		d.change(now, change, replica.Position{Era: at.Era, Revision: item.Revision}, source)
+		d.change(now, change, StoredItem{Item: item, Era: at.Era}, source)
 	}
 	if len(changed) > 0 {
 		d.log.Debug(eventUpdated, zap.String("source", source), positionField(at), zap.Int("changes", len(changed)))
@@ -229,21 +229,25 @@
 	return len(changed)
 }
 
-// notifyPeers sends the position of the replica to some peers, whose watches may have missed
-// the latest changes. They fetch the changes that they lack, and notify others.
+// notifyPeers sends the state of the daemon to some peers, whose watches may have missed the
+// latest changes. They fetch the changes that they lack, and notify others. Peers that have
+// newer changes reply so.
 func (d *Daemon) notifyPeers() {
 	d.mu.Lock()
 	addresses := d.peerAddresses()
 	d.opts.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	args := &PingArgs{At: d.replica.At(), From: d.settings.BackendAddress}
+	args := &PingArgs{State: d.state(), From: d.settings.BackendAddress}
 	d.mu.Unlock()
 	for _, address := range addresses[:min(notifiedPeers, len(addresses))] {
 		d.workers.Go(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 			defer cancel()
-			if _, err := callPeer[PingReply](ctx, d.peer(address), "Ping", args); err != nil {
+			reply, err := callPeer[PingReply](ctx, d.peer(address), "Ping", args)
+			if err != nil {
 				d.metrics.Count(metricFailedNotices)
+				return
 			}
+			d.notePeerState(reply.State, address)
 		})
 	}
 }
@@ -260,12 +264,13 @@
 }
 
 // change puts one change in force.
-func (d *Daemon) change(now time.Time, c Change, at replica.Position, source string) {
+func (d *Daemon) change(now time.Time, c Change, item StoredItem, source string) {
+	at := item.position()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case c.Config != nil:
-		d.configure(c.Config, at, source)
+		d.configure(c.Config, item, source)
 	case c.Upstream != nil:
 		u := *c.Upstream
 		event := eventOutdated
@@ -299,29 +304,30 @@
 }
 
 // configure puts a configuration in force if it is newer and valid. d.mu is held.
-func (d *Daemon) configure(config *routing.Config, at replica.Position, source string) {
+func (d *Daemon) configure(config *routing.Config, item StoredItem, source string) {
 	if t := d.table(); t != nil && config.Version <= t.Config().Version {
 		return
 	}
 	if err := config.Check(); err != nil {
 		d.metrics.Count(metricConfigs, "refused")
-		d.log.Error(eventConfigRefused, zap.Uint64("version", config.Version), positionField(at), errorField(err))
+		d.log.Error(eventConfigRefused, zap.Uint64("version", config.Version), positionField(item.position()), errorField(err))
 		return
 	}
 	d.routes.Store(routing.NewTable(config))
+	d.config = &item
 	d.splitter.Prune(config)
 	d.metrics.Count(metricConfigs, "in_force")
 	d.log.Info(eventConfig, zap.Uint64("version", config.Version), zap.Int("routes", len(config.Routes)),
-		positionField(at), zap.String("source", source))
+		positionField(item.position()), zap.String("source", source))
 }
 
-// notePeerPosition records the position of a peer's replica. If it is newer than this daemon's,
-// the changes are fetched from the peer. upstream is the address of the upstream on its VM.
-func (d *Daemon) notePeerPosition(at replica.Position, upstream string) {
+// notePeerState records the state of the peer at address. If the peer has newer changes, they
+// are fetched from it.
+func (d *Daemon) notePeerState(state replica.State, address string) {
 	d.mu.Lock()
-	newer := d.replica.At().Before(at) && d.newerPeer == ""
+	newer := d.newerPeer == "" && d.receivedState().Lacks(state)
 	if newer {
-		d.newerPeer = upstream
+		d.newerPeer = address
 	}
 	d.mu.Unlock()
 	if newer {
@@ -364,7 +370,7 @@
 	d.newerPeer = ""
 	switch {
 	case newer != "":
-		return d.peerAddress(newer)
+		return newer
 	case !d.storeUnavailable && !d.replica.At().IsZero():
 		return ""
 	}
@@ -385,13 +391,14 @@
 func (d *Daemon) syncFrom(address string) {
 	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 	defer cancel()
-	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{Since: d.position()})
+	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{Since: d.requestState()})
 	if err != nil {
 		d.metrics.Count(metricSyncs, "failed")
 		return
 	}
 	d.metrics.Count(metricSyncs, "ok")
-	if d.apply(reply.Update, "peer "+address) > 0 {
+	changes := d.apply(reply.Update, "peer "+address)
+	if d.applyConfig(reply.Config, "peer "+address) || changes > 0 {
 		d.notifyPeers()
 	}
 }
