Name a changed entry lifetime among the settings that need a start

The lifetime of entries in the store, from platform.heartbeatS, is read at the start. A changed value was not named in the line 'settings changed'.

--- a/mesh/reload.go
+++ b/mesh/reload.go
@@ -20,6 +20,7 @@
 		{"peer_address", d.settings.PeerAddress, settings.PeerAddress}, {"control_address", d.settings.ControlAddress, settings.ControlAddress},
 		{"ready_address", d.settings.ReadyAddress, settings.ReadyAddress}, {"metrics_address", d.settings.MetricsAddress, settings.MetricsAddress},
 		{"retry_window", d.settings.RetryWindow.String(), settings.RetryWindow.String()},
+		{"entry_lifetime", d.settings.EntryLifetime.String(), settings.EntryLifetime.String()},
 	} {
 		if s.current != s.changed {
 			needStart = append(needStart, s.name)
