--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -1,13 +1,17 @@
 // Package replica keeps a read-only copy of the items of a store that orders its
-// changes by one revision counter.
+// changes by one revision counter, and by the era when it is restored from an older copy.
 //
 // A copy is updated from the store itself or from a peer that holds a newer copy; both
-// supply Updates. The state is always that of one revision, except that the items of a
-// complete listing may be newer than the revision of the listing; later updates contain
-// these changes again. A Replica is not safe for concurrent use.
+// supply Updates. The state is always that of one position, except that the items of a
+// complete listing may be newer than the position of the listing; later updates contain
+// these changes again. All items of a copy are of one era. A Replica is not safe for
+// concurrent use.
 package replica
 
-import "sort"
+import (
+	"bytes"
+	"sort"
+)
 
 // maxRemovals is the maximum number of removals that are kept. A peer whose revision is
 // older than the removals that are kept receives the complete state.
@@ -22,11 +26,11 @@
 	Removed  bool
 }
 
-// Update holds the changes that bring a copy to a revision.
+// Update holds the changes that bring a copy to a position. All items are of its era.
 type Update struct {
 	Items []Item
-	// AsOf is the revision of the copy after the update.
-	AsOf int64
+	// At is the position of the copy after the update.
+	At Position
 	// Whole is set when Items is the complete state: keys that are missing from it do not
 	// exist.
 	Whole bool
@@ -38,20 +42,27 @@
 	removals []Item // in the order of their revisions
 	// removalsSince is the revision after which removals lists every removal.
 	removalsSince int64
-	asOf          int64
+	at            Position
 }
 
-// AsOf returns the revision of the copy; 0 before the first update.
-func (r *Replica) AsOf() int64 { return r.asOf }
+// At returns the position of the copy; the zero value before the first update.
+func (r *Replica) At() Position { return r.at }
 
 // Apply applies an update that is newer than the copy and returns the items that changed.
-// Older updates change nothing, nor does an incremental one of the same revision.
+// Older updates change nothing, nor does an incremental one of the same position or of a
+// later era: only the complete state of an era can replace a copy of an earlier one.
 func (r *Replica) Apply(update Update) []Item {
 	if r.items == nil {
 		r.items = make(map[string]Item)
 	}
-	if update.AsOf < r.asOf || update.AsOf == r.asOf && !update.Whole {
+	switch {
+	case update.At.Before(r.at) || update.At == r.at && !update.Whole:
 		return nil
+	case update.At.Era != r.at.Era && !r.at.IsZero():
+		if !update.Whole {
+			return nil
+		}
+		return r.replace(update)
 	}
 	var changed []Item
 	for _, item := range update.Items {
@@ -62,7 +73,27 @@
 	if update.Whole {
 		changed = append(changed, r.removeUnlisted(update)...)
 	}
-	r.asOf = update.AsOf
+	r.at = update.At
+	return changed
+}
+
+// replace replaces the copy by the complete state of a later era and returns the items whose
+// content differs. Revisions of different eras can't be compared.
+func (r *Replica) replace(update Update) []Item {
+	previous := r.items
+	*r = Replica{items: make(map[string]Item, len(update.Items)), removalsSince: update.At.Revision, at: update.At}
+	var changed []Item
+	for _, item := range update.Items {
+		r.items[item.Key] = item
+		if known, ok := previous[item.Key]; !ok || !bytes.Equal(known.Value, item.Value) {
+			changed = append(changed, item)
+		}
+	}
+	for key := range previous {
+		if _, listed := r.items[key]; !listed {
+			changed = append(changed, Item{Key: key, Revision: update.At.Revision, Removed: true})
+		}
+	}
 	return changed
 }
 
@@ -98,19 +129,24 @@
 	}
 	var unlisted []Item
 	for key, item := range r.items {
-		if !listed[key] && item.Revision <= update.AsOf {
+		if !listed[key] && item.Revision <= update.At.Revision {
 			delete(r.items, key)
-			unlisted = append(unlisted, Item{Key: key, Revision: update.AsOf, Removed: true})
+			unlisted = append(unlisted, Item{Key: key, Revision: update.At.Revision, Removed: true})
 		}
 	}
-	r.removalsSince = max(r.removalsSince, update.AsOf)
+	r.removalsSince = max(r.removalsSince, update.At.Revision)
 	r.removals = nil
 	return unlisted
 }
 
-// Since returns the changes after a revision. Items is empty when nothing changed.
-func (r *Replica) Since(revision int64) Update {
-	update := Update{AsOf: r.asOf, Whole: revision < r.removalsSince || revision == 0}
+// Since returns the changes after a position. Items is empty when nothing changed, and when
+// the position is of a later era than the copy.
+func (r *Replica) Since(at Position) Update {
+	if at.Era > r.at.Era {
+		return Update{At: r.at}
+	}
+	revision := at.Revision
+	update := Update{At: r.at, Whole: at.Era != r.at.Era || revision < r.removalsSince || revision == 0}
 	for _, item := range r.items {
 		if update.Whole || item.Revision > revision {
 			update.Items = append(update.Items, item)
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -67,6 +67,9 @@
 	RetryWindow            time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// EntryLifetime is the time after which the store removes the entry of an upstream that does
+	// not renew it.
+	EntryLifetime time.Duration
 }
 
 // Options holds the settings of a daemon and its dependencies.
@@ -101,7 +104,7 @@
 	peerAttempts atomic.Int64
 	routes       atomic.Pointer[routing.Table]
 
-	mu               stateMutex // guards the fields up to newerPeer
+	mu               stateMutex // guards the fields up to refusedVersion
 	dir              *directory.Directory
 	replica          replica.Replica
 	splitter         routing.Splitter
@@ -125,7 +128,11 @@
 	watching  bool
 	sources   *watchers.Selector
 	changed   chan struct{} // closed when the replica changes or watching ends
-	newerPeer string        // upstream address of a peer that holds a newer replica
+	newerPeer string        // address of a peer that has newer changes
+	// config is the item of the configuration in force. refusedVersion is the latest version that
+	// a peer has sent and that was refused here.
+	config         *StoredItem
+	refusedVersion uint64
 
 	peersMu sync.Mutex // guards peers
 	peers   map[string]*peer
@@ -344,6 +351,11 @@
 	d.deliverDecisions(d.limiter.Tick(now))
 	d.tickGate(now)
 	expired := d.dir.Expire(now)
+	for _, u := range d.dir.Relist(now, d.settings.EntryLifetime) {
+		d.applyListed(u)
+		d.log.Info(eventRelisted, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
+			zap.Int64("incarnation", u.Incarnation), zap.Int64("sequence", u.Sequence))
+	}
 	if len(expired) > 0 {
 		d.dispatcher.Prune()
 	}
@@ -418,8 +430,8 @@
 	d.workers.Wait()
 }
 
-// Revision returns the revision of the replica, 0 if nothing has been read.
-func (d *Daemon) Revision() int64 { return d.asOf() }
+// Position returns the position of the replica, zero if nothing has been read.
+func (d *Daemon) Position() replica.Position { return d.position() }
 
 // Upstreams returns the number of known upstreams.
 func (d *Daemon) Upstreams() int {
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/watchers"
@@ -29,6 +30,8 @@
 	// changeGroupPause is the pause after a watch that returned changes, because changes often
 	// come in groups.
 	changeGroupPause = 100 * time.Millisecond
+	// probeTime is the duration of a watch that only shows whether the store answers.
+	probeTime = time.Millisecond
 	// watchSlack is how long after the end of a watch its answer may still arrive.
 	watchSlack = 700 * time.Millisecond
 	// listTimeout limits the time for reading the complete state.
@@ -48,6 +51,14 @@
 	storeDeliveryDelay = 100 * time.Millisecond
 )
 
+var (
+	// errOtherEra says that the store was restored: the changes that it returned are of another
+	// era than the replica.
+	errOtherEra = errors.New("the store is in another era than the replica")
+	// errOldListing says that a listing is older than the replica, which a peer has updated.
+	errOldListing = errors.New("the listing is older than the replica")
+)
+
 // storeLoop keeps the replica up to date from the store, or from a daemon that watches the
 // store.
 func (d *Daemon) storeLoop() {
@@ -60,7 +71,7 @@
 				continue
 			}
 		}
-		update, err := d.readStore(needList)
+		update, err := d.readStore(needList, failures > 0)
 		d.metrics.Count(metricReads, readResult(err))
 		switch {
 		case err == nil:
@@ -74,8 +85,8 @@
 			}
 			needList, failures = false, 0
 			continue
-		case errors.Is(err, ErrCompacted):
-			d.log.Info(eventCompacted, zap.Int64("revision", d.asOf()))
+		case errors.Is(err, ErrCompacted), errors.Is(err, errOtherEra):
+			d.log.Info(eventListNeeded, positionField(d.position()), zap.Int64("store_era", update.At.Era), errorField(err))
 			needList = true
 			continue
 		case d.ctx.Err() != nil:
@@ -93,6 +104,8 @@
 		return "ok"
 	case errors.Is(err, ErrCompacted):
 		return "compacted"
+	case errors.Is(err, errOtherEra):
+		return "other_era"
 	}
 	return "failed"
 }
@@ -117,22 +130,42 @@
 	return min(wait, maxWatchTime)
 }
 
-func (d *Daemon) readStore(needList bool) (replica.Update, error) {
+// readStore reads the complete state, or the changes after the position of the replica. With
+// probe, it does not wait for changes: after failed reads, the store may have been restored and
+// have assigned the replica's revision again, so that a watch from there misses changes.
+func (d *Daemon) readStore(needList, probe bool) (replica.Update, error) {
 	if needList {
-		ctx, cancel := context.WithTimeout(d.ctx, listTimeout)
-		defer cancel()
-		return d.opts.Store.List(ctx)
+		return d.listStore()
 	}
 	wait := d.randomWatchTime()
+	if probe {
+		wait = probeTime
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, wait+watchSlack)
 	defer cancel()
-	return d.opts.Store.Watch(ctx, d.asOf(), wait)
+	at := d.position()
+	update, err := d.opts.Store.Watch(ctx, at.Revision, wait)
+	if err == nil && update.At.Era != at.Era {
+		err = errOtherEra
+	}
+	return update, err
+}
+
+func (d *Daemon) listStore() (replica.Update, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, listTimeout)
+	defer cancel()
+	update, err := d.opts.Store.List(ctx)
+	if at := d.position(); err == nil && update.At.Before(at) {
+		d.log.Warn(eventListingIgnored, positionField(at), zap.Int64("store_era", update.At.Era), zap.Int64("store_revision", update.At.Revision))
+		err = errOldListing
+	}
+	return update, err
 }
 
-func (d *Daemon) asOf() int64 {
+func (d *Daemon) position() replica.Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.replica.AsOf()
+	return d.replica.At()
 }
 
 func (d *Daemon) recordStoreRead(failures int) {
@@ -167,41 +200,54 @@
 func (d *Daemon) apply(update replica.Update, source string) int {
 	now := time.Now()
 	d.mu.Lock()
+	previous := d.replica.At()
 	changed := d.replica.Apply(update)
-	asOf := d.replica.AsOf()
+	at := d.replica.At()
+	restored := at.Era != previous.Era && !previous.IsZero()
+	if restored {
+		d.dir.MarkStoreRestored(now)
+	}
 	if len(changed) > 0 {
 		d.wakeFollowers()
 	}
 	d.mu.Unlock()
+	if restored {
+		d.log.Warn(eventStoreRestored, positionField(at), zap.Int64("previous_era", previous.Era),
+			zap.Int64("previous_revision", previous.Revision), zap.Int("changes", len(changed)), zap.String("source", source))
+	}
 	for _, item := range changed {
 		change, err := d.opts.Decoder.Decode(now, item)
 		if err != nil {
 			d.metrics.Count(metricUnreadableItems)
-			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), zap.Int64("revision", item.Revision), errorField(err))
+			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), positionField(replica.Position{Era: at.Era, Revision: item.Revision}), errorField(err))
 		}
-		d.change(now, change, item.Revision, source)
+		d.change(now, change, StoredItem{Item: item, Era: at.Era}, source)
 	}
 	if len(changed) > 0 {
-		d.log.Debug(eventUpdated, zap.String("source", source), zap.Int64("revision", asOf), zap.Int("changes", len(changed)))
+		d.log.Debug(eventUpdated, zap.String("source", source), positionField(at), zap.Int("changes", len(changed)))
 	}
 	return len(changed)
 }
 
-// notifyPeers sends the revision of the replica to some peers, whose watches may have missed
-// the latest changes. They fetch the changes that they lack, and notify others.
+// notifyPeers sends the state of the daemon to some peers, whose watches may have missed the
+// latest changes. They fetch the changes that they lack, and notify others. Peers that have
+// newer changes reply so.
 func (d *Daemon) notifyPeers() {
 	d.mu.Lock()
 	addresses := d.peerAddresses()
 	d.opts.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	args := &PingArgs{AsOf: d.replica.AsOf(), From: d.settings.BackendAddress}
+	args := &PingArgs{State: d.state(), From: d.settings.BackendAddress}
 	d.mu.Unlock()
 	for _, address := range addresses[:min(notifiedPeers, len(addresses))] {
 		d.workers.Go(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 			defer cancel()
-			if _, err := callPeer[PingReply](ctx, d.peer(address), "Ping", args); err != nil {
+			reply, err := callPeer[PingReply](ctx, d.peer(address), "Ping", args)
+			if err != nil {
 				d.metrics.Count(metricFailedNotices)
+				return
 			}
+			d.notePeerState(reply.State, address)
 		})
 	}
 }
@@ -218,24 +264,22 @@
 }
 
 // change puts one change in force.
-func (d *Daemon) change(now time.Time, c Change, revision int64, source string) {
+func (d *Daemon) change(now time.Time, c Change, item StoredItem, source string) {
+	at := item.position()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case c.Config != nil:
-		d.configure(c.Config, revision, source)
+		d.configure(c.Config, item, source)
 	case c.Upstream != nil:
 		u := *c.Upstream
-		d.dir.Put(u)
-		d.setOriginVMs()
-		if u.Address == d.settings.BackendAddress {
-			d.limiter.SetSlots(u.Slots)
-			if u.Draining {
-				d.deliverDecisions(d.limiter.Evict())
-			}
+		event := eventOutdated
+		if d.dir.Put(u) {
+			event = eventListed
+			d.applyListed(u)
 		}
-		d.log.Info(eventListed, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
-			zap.Bool("draining", u.Draining), zap.Int64("incarnation", u.Incarnation), zap.Int64("revision", revision), zap.String("source", source))
+		d.log.Info(event, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
+			zap.Bool("draining", u.Draining), zap.Int64("incarnation", u.Incarnation), zap.Int64("sequence", u.Sequence), positionField(at), zap.String("source", source))
 	case c.Unlisted != "":
 		local, _ := d.dir.At(d.settings.BackendAddress)
 		d.dir.Remove(now, c.Unlisted)
@@ -244,34 +288,46 @@
 		}
 		d.dispatcher.Prune()
 		d.log.Info(eventRemoved, zap.String("upstream", c.Unlisted), zap.Bool("store_away", d.storeUnavailable),
-			zap.Int64("revision", revision), zap.String("source", source))
+			positionField(at), zap.String("source", source))
+	}
+}
+
+// applyListed puts an upstream that was added or replaced in force. d.mu is held.
+func (d *Daemon) applyListed(u directory.Upstream) {
+	d.setOriginVMs()
+	if u.Address == d.settings.BackendAddress {
+		d.limiter.SetSlots(u.Slots)
+		if u.Draining {
+			d.deliverDecisions(d.limiter.Evict())
+		}
 	}
 }
 
 // configure puts a configuration in force if it is newer and valid. d.mu is held.
-func (d *Daemon) configure(config *routing.Config, revision int64, source string) {
+func (d *Daemon) configure(config *routing.Config, item StoredItem, source string) {
 	if t := d.table(); t != nil && config.Version <= t.Config().Version {
 		return
 	}
 	if err := config.Check(); err != nil {
 		d.metrics.Count(metricConfigs, "refused")
-		d.log.Error(eventConfigRefused, zap.Uint64("version", config.Version), zap.Int64("revision", revision), errorField(err))
+		d.log.Error(eventConfigRefused, zap.Uint64("version", config.Version), positionField(item.position()), errorField(err))
 		return
 	}
 	d.routes.Store(routing.NewTable(config))
+	d.config = &item
 	d.splitter.Prune(config)
 	d.metrics.Count(metricConfigs, "in_force")
 	d.log.Info(eventConfig, zap.Uint64("version", config.Version), zap.Int("routes", len(config.Routes)),
-		zap.Int64("revision", revision), zap.String("source", source))
+		positionField(item.position()), zap.String("source", source))
 }
 
-// notePeerRevision records the revision of a peer's replica. If it is newer than this daemon's,
-// the changes are fetched from the peer. upstream is the address of the upstream on its VM.
-func (d *Daemon) notePeerRevision(asOf int64, upstream string) {
+// notePeerState records the state of the peer at address. If the peer has newer changes, they
+// are fetched from it.
+func (d *Daemon) notePeerState(state replica.State, address string) {
 	d.mu.Lock()
-	newer := asOf > d.replica.AsOf() && d.newerPeer == ""
+	newer := d.newerPeer == "" && d.receivedState().Lacks(state)
 	if newer {
-		d.newerPeer = upstream
+		d.newerPeer = address
 	}
 	d.mu.Unlock()
 	if newer {
@@ -314,8 +370,8 @@
 	d.newerPeer = ""
 	switch {
 	case newer != "":
-		return d.peerAddress(newer)
-	case !d.storeUnavailable && d.replica.AsOf() > 0:
+		return newer
+	case !d.storeUnavailable && !d.replica.At().IsZero():
 		return ""
 	}
 	candidates := d.peerAddresses()
@@ -335,13 +391,14 @@
 func (d *Daemon) syncFrom(address string) {
 	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 	defer cancel()
-	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{After: d.asOf()})
+	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{Since: d.requestState()})
 	if err != nil {
 		d.metrics.Count(metricSyncs, "failed")
 		return
 	}
 	d.metrics.Count(metricSyncs, "ok")
-	if d.apply(reply.Update, "peer "+address) > 0 {
+	changes := d.apply(reply.Update, "peer "+address)
+	if d.applyConfig(reply.Config, "peer "+address) || changes > 0 {
 		d.notifyPeers()
 	}
 }
