Mesh: cancel the attempt of a call that ended with a panic

Cause: the attempt stayed in the table of its connection, as if it were under way. Ruled out: panics in an exchange; they end the attempt with a reply. Change: it is removed, which cancels it.

--- a/mesh/panics.go
+++ b/mesh/panics.go
@@ -82,7 +82,8 @@
 	d.deliverDecisions(d.limiter.Release(time.Now(), a.id))
 }
 
-// recoverCall is recoverPanic for a call of a peer about an attempt. The call ends with an error.
+// recoverCall is recoverPanic for a call of a peer about an attempt. The call ends with an error,
+// and the attempt is cancelled.
 func (c *PeerConn) recoverCall(id uint64, err *error) {
 	v := recover()
 	if v == nil {
@@ -96,6 +97,7 @@
 		request = a.requestID
 	}
 	c.daemon.logPanic(panicPeer, request, v)
+	c.removeAttempt(id)
 	*err = errPanicked
 }
 
--- a/mesh/panics_test.go
+++ b/mesh/panics_test.go
@@ -28,19 +28,25 @@
 	Convey("Given a daemon and a connection of a peer", t, func() {
 		d := New(Options{HeaderConvention: conventionStub{}})
 		c := &PeerConn{daemon: d, ctx: t.Context(), attempts: make(map[uint64]*localAttempt)}
-		// The attempt lacks what the calls about it need, and the replies are nil.
-		c.attempts[1] = &localAttempt{rest: &exchange{}}
+		// The attempts lack what the calls about them need, and the replies are nil.
+		c.attempts[0] = &localAttempt{}
+		for id := range uint64(3) {
+			c.attempts[id+1] = &localAttempt{rest: &exchange{}, cancel: func() {}}
+		}
 		calls := []func() error{
-			func() error { return c.Ask(&AskArgs{ID: 2}, nil) },
+			func() error { return c.Ask(&AskArgs{ID: 4}, nil) },
 			func() error { return c.Run(&RunArgs{ID: 1}, nil) },
-			func() error { return c.Chunk(&ChunkArgs{ID: 1}, nil) },
-			func() error { return c.More(&CallID{ID: 1}, nil) },
-			func() error { return c.Cancel(&CallID{ID: 1}, nil) },
+			func() error { return c.Chunk(&ChunkArgs{ID: 2}, nil) },
+			func() error { return c.More(&CallID{ID: 3}, nil) },
+			func() error { return c.Cancel(&CallID{ID: 0}, nil) },
 		}
-		Convey("a panic ends the call with an error", func() {
+		Convey("a panic ends the call with an error, and its attempt", func() {
 			for _, call := range calls {
 				So(call(), ShouldEqual, errPanicked)
 			}
+			for id := range uint64(5) {
+				So(c.findAttempt(id), ShouldBeNil)
+			}
 		})
 		Convey("a panic releases the slot of its attempt", func() {
 			a := &localAttempt{cancel: func() {}} // without a context
