mesh: end the wait for changes from the store when the daemon closes

Cause: the loop that reads changes from peers slept for 100 ms without regard to the end of the daemon, and Close waited for it. Ruled out by TestStopEndsInTime: that a stop exceeds the grace time beside a caller that does not read a long answer, a peer that falls silent and a request that runs on. It passes on the code before. Change: the wait ends with the daemon. Close has no time limit of its own: after the connections are closed, SIGKILL ends a daemon that hangs.

--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -296,7 +296,7 @@
 		case <-timer.C:
 		case <-d.wakeSync:
 			// The store may deliver the same changes soon.
-			time.Sleep(storeDeliveryDelay)
+			d.pause(storeDeliveryDelay)
 		}
 		timer.Stop()
 		if address := d.syncSource(); address != "" {
