mesh: tell followers that a closing daemon is no source

Cause: since the calls of other daemons are answered when the daemon closes, a follower that waits for changes got a reply that said that this daemon watches the store. Ruled out: nothing. Change: the reply says that the daemon does not watch.

--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -118,7 +118,7 @@
 		case <-timer.C:
 			return reply
 		case <-ctx.Done():
-			return reply
+			return FollowReply{} // the connection or this daemon is closing
 		}
 	}
 }
