pipeline: count the idle time of a connection from its last response

Cause: the deadline for the next request was set while the previous one was being handled, and renewed only if that was still so when it passed. A connection could close right after a response, while its caller sent the next request. Change: the idle time begins with the end of the last response.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -143,34 +143,48 @@
 // awaitFirstByte returns nil when the first byte of the next request has been received. Time
 // in which a request is being handled does not count as idle.
 func (c *conn) awaitFirstByte(idle time.Duration) error {
-	for c.beginWait(idle) {
+	started := time.Now()
+	for {
+		if err := c.beginWait(started, idle); err != nil {
+			return err
+		}
 		_, err := c.reader.Peek(1)
 		c.endWait()
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isRetiring() && !c.busy() {
-			return io.EOF // closed, failed or idle: no response is due
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return io.EOF // closed or failed: no response is due
 		}
 	}
-	return errRetiring
 }
 
-// beginWait sets the deadline for the first byte of the next request. It reports false if the
-// connection is to be closed instead.
-func (c *conn) beginWait(idle time.Duration) bool {
+// beginWait sets the deadline for the first byte of the next request, which has been awaited
+// since started. It returns an error if the connection is to be closed instead.
+func (c *conn) beginWait(started time.Time, idle time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retiring && len(c.inFlight) == 0 && c.reader.Buffered() == 0 {
-		return false
+	now := time.Now()
+	busy := len(c.inFlight) > 0
+	if !busy && (c.closing || c.retiring && c.reader.Buffered() == 0) {
+		return errRetiring
 	}
 	deadline := time.Time{}
 	if idle > 0 {
-		deadline = time.Now().Add(idle)
+		idleSince := started
+		if busy {
+			idleSince = now
+		} else if c.ended.After(started) {
+			idleSince = c.ended
+		}
+		deadline = idleSince.Add(idle)
+		if !now.Before(deadline) {
+			return io.EOF // idle: no response is due
+		}
 	}
 	_ = c.netConn.SetReadDeadline(deadline)
 	c.awaiting = true
-	return true
+	return nil
 }
 
 func (c *conn) endWait() {
@@ -190,18 +204,6 @@
 	}
 }
 
-func (c *conn) isRetiring() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.retiring
-}
-
-func (c *conn) busy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.inFlight) > 0
-}
-
 // finished reports whether the responses of all requests read before t have been written.
 func (c *conn) finished(t time.Time) bool {
 	c.mu.Lock()
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -178,6 +178,22 @@
 		So(err, ShouldEqual, io.EOF)
 		So(time.Since(started), ShouldBeBetween, 50*time.Millisecond, 450*time.Millisecond)
 	})
+	Convey("A connection stays open for the idle time after a response that came late in it", t, func() {
+		h := &recorder{delay: 540 * time.Millisecond}
+		address, _ := startServer(t, h, Limits{IdleTimeout: 600 * time.Millisecond})
+		c, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, _ = io.WriteString(c, "GET /busy"+versionAndHost+"\r\n")
+		br := bufio.NewReader(c)
+		r, err := http.ReadResponse(br, nil)
+		So(err, ShouldBeNil)
+		_, _ = io.Copy(io.Discard, r.Body)
+		started := time.Now()
+		_, err = br.ReadByte()
+		So(err, ShouldEqual, io.EOF)
+		So(time.Since(started), ShouldBeBetween, 400*time.Millisecond, 1200*time.Millisecond)
+	})
 	Convey("An incomplete header is answered with 408", t, func() {
 		address, _ := startServer(t, &recorder{}, Limits{HeaderTimeout: 100 * time.Millisecond})
 		responses, closed := sendRaw(t, address, "GET /slow HTTP/1.1\r\nHo")
