--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -120,7 +120,7 @@
 		case <-timer.C:
 			return reply
 		case <-ctx.Done():
-			return reply
+			return FollowReply{} // the connection or this daemon is closing
 		}
 	}
 }
