Put changes in force in the order in which the copy received them

Cause: the copy of the store was updated under the lock of the daemon, and its changes were decoded and put in force after the lock had been released. Updates of the store and of a peer are applied by two goroutines, so that a removal could take effect before the entry that it removes; the upstream then stayed in use although the store did not list it.

Ruled out: the order of configurations, which is that of their versions.

Change: one update is applied at a time.

--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -104,6 +104,10 @@
 	peerAttempts atomic.Int64
 	routes       atomic.Pointer[routing.Table]
 
+	// applying makes changes take effect in the order in which the replica received them. It is
+	// locked before mu.
+	applying sync.Mutex
+
 	mu               stateMutex // guards the fields up to refusedVersion
 	dir              *directory.Directory
 	replica          replica.Replica
