mesh: log requests that the closing daemon cuts as such

Cause: a request that lost its connection at the end of a stop was logged and counted as one whose caller had left, so that nothing named the stop as its cause. Ruled out: nothing. Change: the context of such a request ends with the cause pipeline.ErrClosed. Its line is "request cut" and its outcome "cut"; hawthornpoint explain knows the line. Conclusion: fixed.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		switch l.Event {
-		case "refused", "not let in", "answer broke off", "caller left":
+		case "refused", "not let in", "answer broke off", "caller left", "request cut":
 			return true
 		case "answered":
 			return l.Get("failed") == "true"
@@ -77,6 +77,8 @@
 		return "the answer broke off while it was passed on: " + l.Get("error")
 	case "caller left":
 		return fmt.Sprintf("the caller left after %s s, while upstream %s had the request", l.Get("held"), l.Get("upstream"))
+	case "request cut":
+		return fmt.Sprintf("the daemon closed and cut it after %s s, while upstream %s had the request", l.Get("held"), l.Get("upstream"))
 	case "answered":
 		if l.Get("failed") == "true" {
 			return fmt.Sprintf("the backend server of upstream %s answered with a failure of its own", l.Get("upstream"))
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -22,7 +22,7 @@
 	server        *Server
 	netConn       net.Conn
 	ctx           context.Context
-	cancel        context.CancelFunc
+	cancel        context.CancelCauseFunc
 	limitReader   *limitedReader
 	reader        *bufio.Reader
 	writer        *bufio.Writer
@@ -80,7 +80,7 @@
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
 	defer c.netConn.Close()
-	defer c.cancel()
+	defer c.cancel(nil)
 	for c.awaitCapacity() {
 		r, err := c.readRequest()
 		if errors.Is(err, errRetiring) {
@@ -421,7 +421,7 @@
 			}
 			// Earlier responses are written before the connection is closed.
 			if ex.awaitPrevious() {
-				ex.conn.close()
+				ex.conn.close(nil)
 			}
 		}
 	}()
@@ -448,7 +448,7 @@
 	_, _ = io.Copy(io.Discard, c.netConn)
 }
 
-func (c *conn) close() {
-	c.cancel()
+func (c *conn) close(cause error) {
+	c.cancel(cause)
 	_ = c.netConn.Close()
 }
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -116,21 +116,21 @@
 	w.WriteHeader(http.StatusOK)
 	c := w.exchange.conn
 	if w.err != nil {
-		c.close()
+		c.close(nil)
 		return
 	}
 	if w.remaining == -1 {
 		_, _ = c.writer.WriteString("0\r\n\r\n")
 	}
 	if err := c.writer.Flush(); err != nil || w.remaining > 0 {
-		c.close()
+		c.close(nil)
 		return
 	}
 	if w.close {
 		c.mu.Lock()
 		c.closing = true
 		c.mu.Unlock()
-		c.cancel() // the caller assumes that later requests were not read
+		c.cancel(nil) // the caller assumes that later requests were not read
 		if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
 			_ = tcp.CloseWrite()
 		}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -27,6 +27,9 @@
 	drainInterval = 5 * time.Millisecond
 )
 
+// ErrClosed is the cause of the end of a request's context when Close cuts the request.
+var ErrClosed = errors.New("server closed")
+
 // Limits bound the requests of callers. Zero means no bound.
 type Limits struct {
 	// HeaderBytes bounds the size of the request line and the header.
@@ -70,7 +73,7 @@
 }
 
 func (s *Server) startConn(netConn net.Conn) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	c := &conn{server: s, netConn: netConn, ctx: ctx, cancel: cancel, exchangeEnded: make(chan struct{}, 1)}
 	c.limitReader = &limitedReader{conn: netConn}
 	c.reader = bufio.NewReaderSize(c.limitReader, 4<<10)
@@ -78,7 +81,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		cancel()
+		cancel(nil)
 		_ = netConn.Close()
 		return
 	}
@@ -149,7 +152,7 @@
 	s.closed = true
 	s.mu.Unlock()
 	for _, c := range s.openConns() {
-		c.close()
+		c.close(ErrClosed)
 	}
 	s.handlers.Wait()
 }
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -14,6 +14,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
+	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
@@ -125,8 +126,12 @@
 			d.dispatcher.Abandon(c.outgoing)
 			d.mu.Unlock()
 			answer.drop()
-			d.recordOutcome(c, outcomeCallerLeft)
-			d.log.Info(eventCallerLeft, append(c.attemptFields(), zap.Duration("held", time.Since(c.arrived)))...)
+			event, outcome := eventCallerLeft, outcomeCallerLeft
+			if errors.Is(context.Cause(ctx), pipeline.ErrClosed) {
+				event, outcome = eventCut, outcomeCut
+			}
+			d.recordOutcome(c, outcome)
+			d.log.Info(event, append(c.attemptFields(), zap.Duration("held", time.Since(c.arrived)))...)
 			panic(http.ErrAbortHandler)
 		}
 		next := c.report(report)
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -31,6 +31,7 @@
 	eventRefused        = "refused"
 	eventTruncated      = "answer broke off"
 	eventCallerLeft     = "caller left"
+	eventCut            = "request cut"
 	eventSlotRefused    = "slot refused"
 	eventWithdrawn      = "grant withdrawn"
 	eventExchangeFailed = "backend exchange failed"
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -81,6 +81,7 @@
 	outcomeRefused    requestOutcome = "refused"  // not run
 	outcomeUnknown    requestOutcome = "unknown"  // may have run
 	outcomeCallerLeft requestOutcome = "gone"     // the caller left
+	outcomeCut        requestOutcome = "cut"      // the daemon closed
 	outcomeTruncated  requestOutcome = "broken"   // the answer was cut short while it was passed on
 )
 
