--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -14,6 +14,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
+	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
@@ -172,12 +173,16 @@
 	if c.r.Context().Err() == nil && c.refuseBody() {
 		return
 	}
-	d.recordOutcome(c, outcomeCallerLeft)
+	event, outcome := eventCallerLeft, outcomeCallerLeft
+	if errors.Is(context.Cause(c.r.Context()), pipeline.ErrClosed) {
+		event, outcome = eventCut, outcomeCut
+	}
+	d.recordOutcome(c, outcome)
 	fields := append(c.attemptFields(), zap.Duration("held", time.Since(c.arrived)))
 	if c.bodyErr != nil {
 		fields = append(fields, errorField(c.bodyErr))
 	}
-	d.log.Info(eventCallerLeft, fields...)
+	d.log.Info(event, fields...)
 	panic(http.ErrAbortHandler)
 }
 
