--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -42,6 +42,8 @@
 
 // Run serves until SIGTERM or SIGINT, then stops gracefully.
 func (c sidecarCommand) Run(o *output) error {
+	received := make(chan os.Signal, 16)
+	signal.Notify(received, syscall.SIGHUP)
 	level, err := zapcore.ParseLevel(c.LogLevel)
 	if err != nil {
 		return err
@@ -52,6 +54,11 @@
 	})
 	defer queue.Close()
 	log := zap.New(queue.Core(logqueue.NewEncoder(), level))
+	go func() {
+		for range received {
+			log.Info("signal received", zap.String("signal", "SIGHUP"))
+		}
+	}()
 	loaded, err := platform.LoadSettings(c.Settings, c.MetricsPort)
 	if err != nil {
 		return err
@@ -79,7 +86,6 @@
 func (c sidecarCommand) reload(ctx context.Context, log *zap.Logger, d *mesh.Daemon, inForce mesh.Settings) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	lastError := ""
