--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -6,7 +6,6 @@
 	"os/signal"
 	"reflect"
 	"runtime/debug"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,7 +42,6 @@
 
 // Run serves until SIGTERM or SIGINT, then stops gracefully.
 func (c sidecarCommand) Run(o *output) error {
-	var stopping atomic.Bool
 	received := make(chan os.Signal, 16)
 	signal.Notify(received, syscall.SIGHUP)
 	level, err := zapcore.ParseLevel(c.LogLevel)
@@ -59,10 +57,6 @@
 	go func() {
 		for range received {
 			log.Info("signal received", zap.String("signal", "SIGHUP"))
-			if stopping.Load() {
-				_, _ = os.Stdout.WriteString("msg=\"ends by SIGHUP\"\n")
-				os.Exit(129)
-			}
 		}
 	}()
 	loaded, err := platform.LoadSettings(c.Settings, c.MetricsPort)
@@ -82,7 +76,6 @@
 	ctx, stopNotify := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stopNotify()
 	c.reload(ctx, log, d, loaded.Mesh)
-	stopping.Store(true)
 	d.Shutdown()
 	return nil
 }
