mesh: put updates in force in the order in which the replica accepts them

An upstream could stay out of use for good. apply released the mutex between the update of the replica and the changes of the directory, and updates of the store and of a peer run in two goroutines. A removal received from the store could then take effect after the next entry of the upstream, received from a peer. The entry does not change with heartbeats, so that nothing put the upstream back.

Ruled out: configurations, which are ordered by their version.

--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -134,6 +134,10 @@
 	config         *StoredItem
 	refusedVersion uint64
 
+	// applyMu is held while an update is applied to the replica and put in force, so that updates
+	// of the store and of peers take effect in the order in which the replica accepts them.
+	applyMu sync.Mutex
+
 	peersMu sync.Mutex // guards peers
 	peers   map[string]*peer
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -198,6 +198,8 @@
 // apply applies an update to the replica, puts the changes in force, and returns their number.
 // source says in the log where the update came from.
 func (d *Daemon) apply(update replica.Update, source string) int {
+	d.applyMu.Lock()
+	defer d.applyMu.Unlock()
 	now := time.Now()
 	d.mu.Lock()
 	previous := d.replica.At()
