Directory: report only upstreams as relisted that are in use again

Relist returned an upstream although Put refused it, because a later one is at its address. The daemon then logged it as back in use and, at the address of the local backend server, took over its number of slots or, if it was draining, refused the waiting requests.

Ruled out: the upstream itself did not come back into use; Put refused it before.

TestOldEntryAtAddressInUse. Before: Relist returns the refused upstream. After: nothing.

--- a/core/directory/departures_test.go
+++ b/core/directory/departures_test.go
@@ -75,6 +75,23 @@
 	})
 }
 
+// Guards against an upstream that is reported as back in use although a later one has taken over
+// its address.
+func TestOldEntryAtAddressInUse(t *testing.T) {
+	Convey("An entry from before its upstream left is not put back while a later upstream is at its address", t, func() {
+		d := New()
+		left := Upstream{ID: "u", Service: "s", Address: "1:1", Incarnation: 10, Sequence: 5}
+		So(d.Put(left), ShouldBeTrue)
+		d.Remove(start, "u")
+		So(d.Put(left), ShouldBeFalse)
+		So(d.Put(Upstream{ID: "v", Service: "s2", Address: "1:1", Incarnation: 11, Sequence: 1}), ShouldBeTrue)
+		So(d.Relist(start, time.Second), ShouldBeEmpty)
+		So(d.Relist(start.Add(time.Hour), time.Second), ShouldBeEmpty)
+		So(servingIDs(d, "s"), ShouldBeEmpty)
+		So(servingIDs(d, "s2"), ShouldResemble, []string{"v"})
+	})
+}
+
 // Guards against memory that grows with each upstream that ever left.
 func TestDeparturesAreBounded(t *testing.T) {
 	Convey("The latest departures are kept, up to a limit", t, func() {
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -198,17 +198,19 @@
 // Relist puts back the upstreams that left according to an earlier state of the store, that a
 // restored store lists, and whose entries it has kept for longer than lifetime and
 // RecoveryGrace. lifetime is the time after which the store removes an entry that is not renewed.
-// It returns the upstreams.
+// It returns those that Put accepts.
 func (d *Directory) Relist(now time.Time, lifetime time.Duration) []Upstream {
 	if d.storeUnavailable {
 		return nil
 	}
-	renewed := d.departures.renewed(now, lifetime+RecoveryGrace)
-	for _, u := range renewed {
+	var relisted []Upstream
+	for _, u := range d.departures.renewed(now, lifetime+RecoveryGrace) {
 		d.departures.forget(u.ID)
-		d.Put(u)
+		if d.Put(u) {
+			relisted = append(relisted, u)
+		}
 	}
-	return renewed
+	return relisted
 }
 
 // Serving returns the upstreams of a service that take new work, ordered by ID. The caller
