pipeline: complete the last response when a further request arrives

Callers of a stopping daemon got a response that ended early. From the header of the last response on, further requests of the connection are not handled. Such a request still became the latest exchange, which ended at once; the connection then took all responses for written and shut down its sending direction in the middle of the last one. Safe requests that are sent before the previous answer is complete, and answers in several parts, are enough for that.

Ruled out: requests that may run once, which wait for the previous response; connections that close for another reason, which is known only when the response has been written.

Change: no exchange begins on a connection that closes.

TestRequestDuringLastResponse. Before: unexpected EOF after the first part. After: the whole response.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -217,12 +217,6 @@
 	return !slices.ContainsFunc(c.inFlight, func(ex *exchange) bool { return ex.begun.Before(t) })
 }
 
-func (c *conn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
 // checkRequest rejects invalid requests that http.ReadRequest accepts.
 func checkRequest(r *http.Request) error {
 	switch {
@@ -262,19 +256,24 @@
 		return
 	}
 	c.server.Reject(c.netConn.RemoteAddr(), status, err)
-	ex := c.beginExchange(&http.Request{ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: http.Header{}})
-	w := newResponse(ex)
-	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(status)
-	w.finish()
-	ex.end()
+	if ex := c.beginExchange(&http.Request{ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: http.Header{}}); ex != nil {
+		w := newResponse(ex)
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(status)
+		w.finish()
+		ex.end()
+	}
 	c.linger()
 }
 
+// beginExchange returns nil if the connection closes after a response that is being written.
 func (c *conn) beginExchange(r *http.Request) *exchange {
 	ex := &exchange{conn: c, request: r, begun: time.Now(), done: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		return nil
+	}
 	if c.latest != nil {
 		ex.previous = c.latest.done
 	}
@@ -329,8 +328,7 @@
 // false when no further request may be read.
 func (c *conn) handle(r *http.Request) bool {
 	ex := c.beginExchange(r)
-	if c.isClosing() {
-		ex.end()
+	if ex == nil {
 		return false
 	}
 	safe := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -168,3 +168,36 @@
 		So(h.list(), ShouldBeEmpty)
 	})
 }
+
+// Guards against a stop that cuts a response which is being written because a further request
+// arrives on its connection.
+func TestRequestDuringLastResponse(t *testing.T) {
+	Convey("Given a stopping server that has written the first half of a response", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		resume := make(chan struct{})
+		s := &Server{Limits: func() Limits { return Limits{} }, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "first ")
+			<-resume
+			_, _ = io.WriteString(w, "second")
+		})}
+		s.Stop()
+		go func() { _ = s.Serve(l) }()
+		defer s.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, _ = io.WriteString(c, "GET /a"+versionAndHost+"\r\n")
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		So(err, ShouldBeNil)
+		Convey("the response is completed when a further request arrives", func() {
+			_, _ = io.WriteString(c, "GET /b"+versionAndHost+"\r\n")
+			time.Sleep(100 * time.Millisecond)
+			close(resume)
+			body, err := io.ReadAll(r.Body)
+			So(err, ShouldBeNil)
+			So(string(body), ShouldEqual, "first second")
+		})
+	})
+}
