--- a/mesh/apply_test.go
+++ b/mesh/apply_test.go
@@ -11,43 +11,60 @@
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 )
 
-// slowDecoder decodes each item as an entry of the upstream u, or as its removal. It blocks in
-// the first entry until proceed is closed.
-type slowDecoder struct {
-	once     sync.Once
-	decoding chan struct{}
-	proceed  chan struct{}
+// pausingDecoder decodes items as entries of upstreams, whose sequence number is the revision. It
+// waits for resume before it returns the change of the given revision.
+type pausingDecoder struct {
+	revision          int64
+	decoding, resumed chan struct{}
 }
 
 // Decode implements Decoder.
-func (d *slowDecoder) Decode(_ time.Time, item replica.Item) (Change, error) {
+func (p pausingDecoder) Decode(_ time.Time, item replica.Item) (Change, error) {
+	if item.Revision == p.revision {
+		close(p.decoding)
+		<-p.resumed
+	}
 	if item.Removed {
-		return Change{Unlisted: "u"}, nil
+		return Change{Unlisted: item.Key}, nil
 	}
-	d.once.Do(func() {
-		close(d.decoding)
-		<-d.proceed
-	})
-	return Change{Upstream: &directory.Upstream{ID: "u", Address: "10.0.0.1:1", Service: "s", Slots: 1}}, nil
+	return Change{Upstream: &directory.Upstream{ID: item.Key, Service: "s", Address: "10.0.0.1:1", Slots: 1, Incarnation: 1, Sequence: item.Revision}}, nil
 }
 
-// Guards against an upstream that stays in use after its removal, because the store and a peer
-// deliver its entry and its removal at the same time.
+// Guards against an upstream that stays out of use, or in use, because its entry and its removal,
+// received from the store and a peer, were put in force in the wrong order.
 func TestUpdatesFromTwoSources(t *testing.T) {
-	Convey("A removal that is received while the entry is being applied takes effect after it", t, func() {
-		decoder := &slowDecoder{decoding: make(chan struct{}), proceed: make(chan struct{})}
+	// applyAtOnce applies an entry at revision 1, and then the updates of revisions 2 and 3, the
+	// second one while the change of the first is being decoded.
+	applyAtOnce := func(first, second replica.Item) *Daemon {
+		decoder := pausingDecoder{revision: 2, decoding: make(chan struct{}), resumed: make(chan struct{})}
 		d := New(Options{HeaderConvention: conventionStub{}, Decoder: decoder})
-		var applying sync.WaitGroup
-		applying.Go(func() {
-			d.apply(replica.Update{Items: []replica.Item{{Key: "k", Revision: 5}}, At: replica.Position{Revision: 5}}, "store")
-		})
+		apply := func(item replica.Item, source string) {
+			d.apply(replica.Update{Items: []replica.Item{item}, At: replica.Position{Era: 1, Revision: item.Revision}}, source)
+		}
+		apply(replica.Item{Key: "u", Revision: 1}, "store")
+		var sources sync.WaitGroup
+		sources.Go(func() { apply(first, "store") })
 		<-decoder.decoding
-		applying.Go(func() {
-			d.apply(replica.Update{Items: []replica.Item{{Key: "k", Revision: 6, Removed: true}}, At: replica.Position{Revision: 6}}, "peer")
+		applied := make(chan struct{})
+		sources.Go(func() {
+			apply(second, "peer")
+			close(applied)
 		})
-		time.Sleep(50 * time.Millisecond)
-		close(decoder.proceed)
-		applying.Wait()
+		select {
+		case <-applied:
+		case <-time.After(100 * time.Millisecond):
+		}
+		close(decoder.resumed)
+		sources.Wait()
+		So(d.Position(), ShouldResemble, replica.Position{Era: 1, Revision: 3})
+		return d
+	}
+	Convey("An upstream is in use when its next entry follows its removal", t, func() {
+		d := applyAtOnce(replica.Item{Key: "u", Revision: 2, Removed: true}, replica.Item{Key: "u", Revision: 3})
+		So(d.Upstreams(), ShouldEqual, 1)
+	})
+	Convey("An upstream is out of use when its removal follows its next entry", t, func() {
+		d := applyAtOnce(replica.Item{Key: "u", Revision: 2}, replica.Item{Key: "u", Revision: 3, Removed: true})
 		So(d.Upstreams(), ShouldEqual, 0)
 	})
 }
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -104,10 +104,6 @@
 	peerAttempts atomic.Int64
 	routes       atomic.Pointer[routing.Table]
 
-	// applying makes changes take effect in the order in which the replica received them. It is
-	// locked before mu.
-	applying sync.Mutex
-
 	mu               stateMutex // guards the fields up to refusedVersion
 	dir              *directory.Directory
 	replica          replica.Replica
@@ -138,6 +134,11 @@
 	config         *StoredItem
 	refusedVersion uint64
 
+	// applyMu is held while an update is applied to the replica and put in force, so that updates
+	// of the store and of peers take effect in the order in which the replica accepts them. It is
+	// locked before mu.
+	applyMu sync.Mutex
+
 	peersMu sync.Mutex // guards peers
 	peers   map[string]*peer
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -62,7 +62,7 @@
 // storeLoop keeps the replica up to date from the store, or from a daemon that watches the
 // store.
 func (d *Daemon) storeLoop() {
-	needList, failures, following := true, 0, false
+	needList, listed, failures, following := true, false, 0, false
 	for d.ctx.Err() == nil {
 		if !needList && failures == 0 {
 			// The first request to a source does not wait for changes: if the source has
@@ -83,10 +83,13 @@
 			if changes > 0 && !needList {
 				d.pause(changeGroupPause)
 			}
-			needList, failures = false, 0
+			listed, needList, failures = needList, false, 0
 			continue
 		case errors.Is(err, ErrCompacted), errors.Is(err, errOtherEra):
 			d.log.Info(eventListNeeded, positionField(d.position()), zap.Int64("store_era", update.At.Era), errorField(err))
+			if listed {
+				d.pause(initialStorePause) // the changes after the latest listing are not available
+			}
 			needList = true
 			continue
 		case d.ctx.Err() != nil:
@@ -198,8 +201,8 @@
 // apply applies an update to the replica, puts the changes in force, and returns their number.
 // source says in the log where the update came from.
 func (d *Daemon) apply(update replica.Update, source string) int {
-	d.applying.Lock()
-	defer d.applying.Unlock()
+	d.applyMu.Lock()
+	defer d.applyMu.Unlock()
 	now := time.Now()
 	d.mu.Lock()
 	previous := d.replica.At()
