Log: drop lines that are logged after the queue is closed

A process could end with a panic (send on closed channel) and a non-zero exit code at the end of a graceful stop. An exchange with the backend server that outlives its request for up to 100 ms logs its end, also after the daemon has closed and the queue of the log waits up to 0.5 s for a slow reader. Requests were not affected: they had ended.

Ruled out: lines of the daemon's own workers, which Close waits for.

TestLineAfterClose. Before: panic, send on closed channel. After: the line is dropped and the earlier ones are written. The panic was not seen in a daemon.

--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -54,7 +54,8 @@
 	opts    Options
 	lines   chan []byte
 	limiter *rate.Limiter
-	done    chan struct{}
+	closed  chan struct{} // closed by Close
+	done    chan struct{} // closed when the queued lines have been written after Close
 
 	mu      sync.Mutex // guards dropped
 	dropped map[string]int
@@ -63,7 +64,7 @@
 // New returns a Queue that writes to w. Close must be called to stop its goroutine.
 func New(w io.Writer, opts Options) *Queue {
 	q := &Queue{
-		opts: opts, lines: make(chan []byte, opts.QueueLines), done: make(chan struct{}),
+		opts: opts, lines: make(chan []byte, opts.QueueLines), closed: make(chan struct{}), done: make(chan struct{}),
 		limiter: rate.NewLimiter(rate.Limit(opts.LinesPerSecond), opts.LinesPerSecond), dropped: make(map[string]int),
 	}
 	go q.run(w)
@@ -76,16 +77,32 @@
 	defer report.Stop()
 	for {
 		select {
-		case line, open := <-q.lines:
-			if !open {
-				q.report(w)
-				return
-			}
-			if _, err := w.Write(line); err != nil {
-				q.drop(eventWriteFailed)
-			}
+		case line := <-q.lines:
+			q.write(w, line)
 		case <-report.C:
 			q.report(w)
+		case <-q.closed:
+			q.flush(w)
+			return
+		}
+	}
+}
+
+func (q *Queue) write(w io.Writer, line []byte) {
+	if _, err := w.Write(line); err != nil {
+		q.drop(eventWriteFailed)
+	}
+}
+
+// flush writes the queued lines.
+func (q *Queue) flush(w io.Writer) {
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(w, line)
+		default:
+			q.report(w)
+			return
 		}
 	}
 }
@@ -137,10 +154,10 @@
 	}
 }
 
-// Close waits at most flushTimeout until the queued lines are written. Nothing may be logged
-// after Close is called.
+// Close waits at most flushTimeout until the queued lines are written. Lines that are logged
+// after it are not written.
 func (q *Queue) Close() {
-	close(q.lines)
+	close(q.closed)
 	select {
 	case <-q.done:
 	case <-time.After(flushTimeout):
--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -144,3 +144,16 @@
 		})
 	}
 }
+
+// Guards against a process that ends with a panic because a goroutine logs after Close.
+func TestLineAfterClose(t *testing.T) {
+	Convey("A line that is logged after Close is dropped", t, func() {
+		var out bytes.Buffer
+		q := New(&out, Options{QueueLines: 10, LinesPerSecond: 100})
+		logger(q).Info("before")
+		q.Close()
+		So(func() { logger(q).Info("after") }, ShouldNotPanic)
+		So(out.String(), ShouldContainSubstring, "msg=before")
+		So(out.String(), ShouldNotContainSubstring, "msg=after")
+	})
+}
