mesh: don't recover a panic that leaves the state locked

A panic while the state of a peer is compared, at the end of an attempt, was recovered as one of a single request although the code held the mutex of the state. It unlocked the mutex without defer, so that the panic was not noted and the mutex stayed locked: the process would have gone on without answering any request.

Ruled out: the other critical sections without defer run outside the code whose panics are recovered; there the process ends.

TestPanicOfPeerCall, with a routing table without a configuration. Before: the panic is recovered. After: it is not, and the mutex is unlocked. No such panic was seen in a daemon.

--- a/mesh/panics_test.go
+++ b/mesh/panics_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/hawthornpoint/hawthornpoint/core/replica"
+	"github.com/hawthornpoint/hawthornpoint/core/routing"
 )
 
 // conventionStub is a HeaderConvention without headers.
@@ -66,6 +69,14 @@
 			So(err, ShouldNotBeNil)
 			So(sent, ShouldBeTrue)
 		})
+		Convey("a panic while the state of a peer is compared is not recovered, and the mutex is unlocked", func() {
+			d.routes.Store(new(routing.Table)) // without a configuration
+			So(func() {
+				defer d.recoverPanic(panicCaller, new(string), func() {})
+				d.notePeerState(replica.State{}, "10.0.0.1:1")
+			}, ShouldPanic)
+			So(d.mu.TryLock(), ShouldBeTrue)
+		})
 		Convey("a panic of code that holds the mutex is not recovered, and the mutex is unlocked", func() {
 			So(func() {
 				defer d.recoverPanic(panicPeer, new(string), func() {})
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -329,17 +329,23 @@
 // notePeerState records the state of the peer at address. If the peer has newer changes, they
 // are fetched from it.
 func (d *Daemon) notePeerState(state replica.State, address string) {
-	d.mu.Lock()
-	newer := d.newerPeer == "" && d.receivedState().Lacks(state)
-	if newer {
-		d.newerPeer = address
-	}
-	d.mu.Unlock()
-	if newer {
+	if d.recordNewerPeer(state, address) {
 		d.wakePeerLoop()
 	}
 }
 
+// recordNewerPeer records a peer that has newer changes, unless another one is recorded. It
+// reports whether it did.
+func (d *Daemon) recordNewerPeer(state replica.State, address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.newerPeer != "" || !d.receivedState().Lacks(state) {
+		return false
+	}
+	d.newerPeer = address
+	return true
+}
+
 func (d *Daemon) wakePeerLoop() {
 	select {
 	case d.wakeSync <- struct{}{}:
