mesh: refuse a request whose withdrawal is handled first

A stopping daemon withdraws the requests that wait for a slot at another daemon, so that their callers get a refusal before the stop cuts their connections. Calls of one connection are handled concurrently: a withdrawal that was handled before the request was registered, or before it had requested its slot, had no effect, and the request waited until the cut.

Ruled out: requests that may run once, which are refused by their own daemon when it starts no further attempts.

Change: withdrawals of unknown attempts are kept for the connection, and a withdrawn attempt is refused when it requests a slot.

TestWithdrawalBeforeAsk. Before: the request waited, 0.5 s in the test, and was granted the slot. After: it is refused at once.

--- a/mesh/local.go
+++ b/mesh/local.go
@@ -35,6 +35,7 @@
 	kind      string
 	origin    string // the service of the VM that sent the request
 	isRetry   bool
+	withdrawn bool // the daemon that sent the request starts no further attempts
 	// ctx ends when the caller leaves; cancel ends it.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -114,7 +115,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	local, known := d.dir.At(d.settings.BackendAddress)
-	if d.stopping || known && local.ID == args.Instance && local.Draining {
+	if d.stopping || a.withdrawn || known && local.ID == args.Instance && local.Draining {
 		return slots.Decision{Reason: slots.Closed}, OutcomeLeaving
 	}
 	d.callGraph.Observe(args.Kind, args.CallerService)
@@ -168,10 +169,11 @@
 	}
 }
 
-// withdrawWaiting refuses an attempt if it waits for a slot.
+// withdrawWaiting refuses an attempt if it waits for a slot or has not requested one.
 func (d *Daemon) withdrawWaiting(a *localAttempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	a.withdrawn = true
 	if d.waiting[a.id] == a {
 		d.limiter.Cancel(a.id)
 		d.deliverDecisions([]slots.Event{{ID: a.id, Decision: slots.Decision{Verdict: slots.Refuse, Reason: slots.Closed}}})
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -26,6 +26,9 @@
 
 	mu       sync.Mutex
 	attempts map[uint64]*localAttempt
+	// withdrawn holds the attempts whose withdrawal was handled before their request. Only a
+	// daemon that stops withdraws attempts, so that the connection ends soon.
+	withdrawn map[uint64]bool
 }
 
 // servePeers accepts connections of other daemons until the listener closes.
@@ -86,6 +89,8 @@
 		return nil, false
 	}
 	a := newLocalAttempt(c.ctx, func() { c.removeAttempt(id) })
+	a.withdrawn = c.withdrawn[id]
+	delete(c.withdrawn, id)
 	c.attempts[id] = a
 	c.daemon.peerAttempts.Add(1)
 	return a, true
@@ -182,14 +187,28 @@
 	return nil
 }
 
-// Withdraw refuses an attempt that waits for a slot. Others continue.
+// Withdraw refuses an attempt that waits for a slot or will request one. Others continue.
 func (c *PeerConn) Withdraw(args *CallID, reply *PingReply) error {
-	if a := c.findAttempt(args.ID); a != nil {
+	if a := c.findOrWithdraw(args.ID); a != nil {
 		c.daemon.withdrawWaiting(a)
 	}
 	return nil
 }
 
+// findOrWithdraw returns an attempt. If there is none, it records that the attempt is withdrawn.
+func (c *PeerConn) findOrWithdraw(id uint64) *localAttempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.attempts[id]
+	if a == nil {
+		if c.withdrawn == nil {
+			c.withdrawn = make(map[uint64]bool)
+		}
+		c.withdrawn[id] = true
+	}
+	return a
+}
+
 // Ping returns the state of the daemon.
 func (c *PeerConn) Ping(args *PingArgs, reply *PingReply) error {
 	if args.From != "" {
