Tests: one place for what the platform's peers write

The test of signals wrote entries, a configuration and settings with the platform's field names outside platform/, beside copies of the same in the fleet tests. platformtest has them now, and both use it. No check changed: TestSignals* and TestLogReaderEnds pass as before.

--- a/harness/e2e/signals_test.go
+++ b/harness/e2e/signals_test.go
@@ -43,25 +43,10 @@
 		s.store.Close()
 		s.upstream.Close()
 	})
-	s.store.Put("servers/i-0", map[string]any{
-		"address": upstream.Address(), "born": 1000,
-		"info":   map[string]any{"service": "s", "version": "v1", "zone": "z", "slots": 10},
-		"status": map[string]any{"state": "ready", "sequence": 1, "warmupLeftS": 0},
-	})
-	s.store.Put("op/config", map[string]any{
-		"version": "00000001",
-		"routes": map[string]any{
-			"columns": []string{"name", "host", "prefix", "routeType", "timeoutS", "targetLatencyS", "priority", "maxAttempts", "service"},
-			"rows":    [][]any{{"once", "h.example", "/once/", "unsafe", 5.0, 1.0, 0, 2, "s"}},
-		},
-		"services": map[string]any{"columns": []string{"name", "healthPath", "maxConnections"}, "rows": [][]any{{"s", "/healthz", 100}}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
-	})
-	s.settings = fmt.Appendf(nil, `{"self": {"node": "vm", "ip": "127.0.0.1", "zone": "z", "service": "s", "appAddress": %q},
- "network": {"listen": {"inbound": %q, "outbound": %q, "ready": %q}, "seeds": []},
- "platform": {"platform": {"address": %q}},
- "terms": {"bounds": {"graceS": 4, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 47}}}`,
-		upstream.Address(), s.peer, s.callers, s.ready, s.store.Address())
+	s.store.PutEntry(platformtest.Entry{ID: upstream.ID, Address: upstream.Address(), Service: "s", State: "ready", Incarnation: 1000, Sequence: 1})
+	s.store.PutConfig(1, platformtest.Route{Prefix: "/once/", Kind: "unsafe", Service: "s", TimeoutS: 5})
+	s.settings = platformtest.Process{Service: "s", BackendAddress: upstream.Address(), CallerAddress: s.callers, PeerAddress: s.peer,
+		ReadyAddress: s.ready, StoreAddress: s.store.Address(), GraceS: 4}.SettingsFile()
 	if err := os.WriteFile(s.settingsFile, s.settings, 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -114,8 +99,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-	fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Hawthornpoint-Request-Id: %s\r\n"+
-		"X-Hawthornpoint-Deadline-Ms: 5000\r\nContent-Length: 1\r\n\r\nb", id)
+	_, _ = io.WriteString(c, platformtest.RequestText("POST", "/once/x", id, "b"))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0
