--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -62,6 +62,7 @@
 // storeLoop keeps the replica up to date from the store, or from a daemon that watches the
 // store.
 func (d *Daemon) storeLoop() {
+	// listed says that the latest successful read was a complete listing.
 	needList, listed, failures, following := true, false, 0, false
 	for d.ctx.Err() == nil {
 		if !needList && failures == 0 {
