Log crashes of the backend server and the fingerprint of requests

The log could not tell the hypotheses apart: an exchange that failed had the same line after a crash as after the reset of one connection, and nothing related requests that are equal but for their IDs.

After an exchange without an answer the daemon opens a connection. If it is refused, 'backend server crashed' is logged once for each crash, and counted. The fingerprint is logged with attempts and failed exchanges. It covers the calling service, method, host, target and the first part of the body, so that callmeta.Fingerprint takes its parts as a list; it does not cover the destination, because a configuration may move the route meanwhile.

No decision has changed. Ruled out as a sign of a crash: a connection that opens late or not in time, which an overloaded backend server shows as well.

--- a/callmeta/callmeta.go
+++ b/callmeta/callmeta.go
@@ -100,10 +100,11 @@
 func hashID(id uuid.UUID) uint64 { return xxhash.Sum64(id[:]) }
 
 // Fingerprint hashes the parts of a request that stay equal when it is sent again.
-// body holds the first bytes of the body.
-func Fingerprint(service, method, target string, body []byte) uint64 {
+// body holds the first bytes of the body; parts are the others in a fixed order, such as
+// the service, the method and the target.
+func Fingerprint(body []byte, parts ...string) uint64 {
 	digest := xxhash.New()
-	for _, part := range []string{service, method, target} {
+	for _, part := range parts {
 		var length [8]byte
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = digest.Write(length[:])
--- a/daemon/client.go
+++ b/daemon/client.go
@@ -85,7 +85,7 @@
 		Path:        path,
 		Key:         idempotencyKey(r.Header),
 		Token:       r.Header.Get(callmeta.HeaderToken),
-		Fingerprint: callmeta.Fingerprint(service, r.Method, r.URL.RequestURI(), body.prefix),
+		Fingerprint: callmeta.Fingerprint(body.prefix, service, r.Method, r.URL.RequestURI()),
 		Timeout:     callerTimeout(r.Header),
 	}
 	d.mu.Lock()
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -42,6 +42,8 @@
 	count   func(event string) // counts events of connections
 	// panicked is called with the value of a panic while a request is written.
 	panicked func(value any)
+	// connected is called with nil when a connection was opened, otherwise with the error.
+	connected func(err error)
 
 	mu   sync.Mutex
 	idle []*backendConn // the most recently used is the last
@@ -208,12 +210,18 @@
 		b.count("stale")
 		_ = c.Close()
 	}
+	return b.connect(ctx)
+}
+
+// connect opens a new connection.
+func (b *backend) connect(ctx context.Context) (*backendConn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, backendDialTimeout)
 	defer cancel()
 	raw, err := b.dial(dialCtx, "tcp", b.address)
 	if err != nil && ctx.Err() != nil {
 		return nil, ctx.Err() // says nothing about the backend server
 	}
+	b.connected(err)
 	if err != nil {
 		return nil, errors.Wrap(errBackendDown, err.Error())
 	}
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
@@ -47,10 +48,12 @@
 	step       dispatch.Step   // the step that led to the latest attempt
 	lastReport dispatch.Report // the outcome of the latest attempt
 	body       []byte          // the first part of the body
-	more       bool            // rest holds the rest of the body
-	rest       bodyRest
-	attempting bool  // an attempt is under way
-	bodyErr    error // the error with which reading the body ended an attempt
+	// fingerprint is equal for requests of this VM's service that are equal but for their IDs.
+	fingerprint uint64
+	more        bool // rest holds the rest of the body
+	rest        bodyRest
+	attempting  bool  // an attempt is under way
+	bodyErr     error // the error with which reading the body ended an attempt
 }
 
 // admit checks the request, finds its route and reads the first part of its body. It returns
@@ -78,7 +81,11 @@
 		}
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
-	return c.readBody()
+	if code := c.readBody(); code != 0 {
+		return code
+	}
+	c.fingerprint = callmeta.Fingerprint(c.body, d.settings.Service, c.r.Method, c.r.Host, c.target())
+	return 0
 }
 
 func (c *callerRequest) readBody() resultcode.Code {
@@ -252,6 +259,7 @@
 	return &AskArgs{
 		ID: c.daemon.nextAttempt(), RequestID: c.head.ID, Instance: step.Upstream.ID, Kind: c.route.Name, Rank: c.route.Rank,
 		CallerService:  c.daemon.settings.Service,
+		Fingerprint:    c.fingerprint,
 		Repeat:         c.outgoing.Sent() > 0,
 		UntilObjective: c.outgoing.Objective.Sub(now), Left: c.outgoing.Deadline.Sub(now), MayQueue: step.MayQueue,
 	}
@@ -262,16 +270,20 @@
 	if !c.more {
 		length = int64(len(c.body))
 	}
-	target := c.r.RequestURI
-	if c.r.URL.Host != "" {
-		target = c.r.URL.RequestURI() // the request line holds an absolute URI
-	}
 	return &Payload{
-		Method: c.r.Method, Target: target,
+		Method: c.r.Method, Target: c.target(),
 		Host: c.r.Host, Header: c.daemon.headers.pack(hopheader.EndToEnd(c.r.Header)), Body: c.body, More: c.more, Length: length,
 	}
 }
 
+// target returns the path and query of the request.
+func (c *callerRequest) target() string {
+	if c.r.URL.Host != "" {
+		return c.r.URL.RequestURI() // the request line holds an absolute URI
+	}
+	return c.r.RequestURI
+}
+
 // classify returns the dispatcher's result for an attempt that got a reply.
 func (c *callerRequest) classify(reply *Reply) dispatch.Result {
 	switch reply.Outcome {
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 	"github.com/hawthornpoint/hawthornpoint/core/loadshed"
+	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
@@ -113,6 +114,7 @@
 	waiting          map[uint64]*localAttempt // queued attempts by their ID in the limiter
 	lastID           uint64
 	retryRuns        int // number of local runs that are retries
+	liveness         quarantine.Liveness
 	callGraph        *callgraph.Observer
 	callMeter        *loadshed.Meter // blocked shares of the calls of the local backend server
 	entryMeter       *loadshed.Meter // blocked shares of new requests of callers
@@ -189,8 +191,9 @@
 	d.ctx = d.workers.Context()
 	d.starting, d.stopStarting = context.WithCancel(d.ctx)
 	d.backend = &backend{address: settings.BackendAddress, dial: opts.Dial,
-		count:    func(event string) { d.metrics.Count(metricBackend, event) },
-		panicked: func(value any) { d.logPanic(panicBody, "", value) }}
+		count:     func(event string) { d.metrics.Count(metricBackend, event) },
+		panicked:  func(value any) { d.logPanic(panicBody, "", value) },
+		connected: d.backendConnected}
 	d.declareGauges()
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Zone: settings.Zone, Rand: opts.Rand,
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -27,6 +27,7 @@
 	eventExpired        = "upstream gone"
 	eventPeerSilent     = "peer connection silent"
 	eventGate           = "gate"
+	eventBackendCrashed = "backend server crashed"
 	eventPanic          = "panic"
 
 	eventNotParsed      = "request not parsed"
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -34,8 +34,10 @@
 	instance  string
 	kind      string
 	origin    string // the service of the VM that sent the request
-	isRetry   bool
-	withdrawn bool // the daemon that sent the request starts no further attempts
+	// fingerprint is equal for requests of one service that are equal but for their IDs.
+	fingerprint uint64
+	isRetry     bool
+	withdrawn   bool // the daemon that sent the request starts no further attempts
 	// ctx ends when the caller leaves; cancel ends it.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -66,6 +68,7 @@
 func (d *Daemon) ask(a *localAttempt, args *AskArgs) Reply {
 	defer d.releaseOnPanic(a)
 	a.requestID, a.instance, a.kind, a.origin, a.isRetry = args.RequestID, args.Instance, args.Kind, args.CallerService, args.Repeat
+	a.fingerprint = args.Fingerprint
 	asked := time.Now()
 	deadline := asked.Add(args.Left)
 	decision, refused := d.requestSlot(a, args)
@@ -354,10 +357,13 @@
 	case a.ctx.Err() != nil:
 		reason = "canceled"
 	}
+	if reason == "no_answer" {
+		d.checkCrash(func() {})
+	}
 	elapsed := time.Since(started)
 	d.metrics.Observe(metricBackendTime, elapsed, a.kind, reason)
 	d.log.Info(eventExchangeFailed, zap.String("id", a.requestID), zap.String("kind", a.kind), zap.String("upstream", a.instance),
-		zap.Bool("sent", sent), zap.Duration("elapsed", elapsed), zap.String("reason", reason), errorField(err))
+		fingerprintField(a.fingerprint), zap.Bool("sent", sent), zap.Duration("elapsed", elapsed), zap.String("reason", reason), errorField(err))
 	return d.reply(a, outcome, slots.Decision{Reason: slots.Reason(reason)})
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -38,6 +38,8 @@
 	Kind          string
 	Rank          int
 	CallerService string
+	// Fingerprint is equal for requests of one service that are equal but for their IDs.
+	Fingerprint uint64
 	// UntilObjective and Left are the times left until the latency objective and until the
 	// deadline.
 	UntilObjective, Left time.Duration
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -20,6 +20,7 @@
 	metricAvoided         = counter("suspicions_total", "Upstreams that are avoided for a time because they gave no reply.")
 	metricSlots           = counter("slot_decisions_total", "Decisions about requests that ask for a slot of the local backend server.", "decision")
 	metricBackend         = counter("backend_connections_total", "Connections to the local backend server by what became of them.", "event")
+	metricCrashes         = counter("backend_crashes_total", "Crashes of the local backend server: its connections ended and new ones were refused.")
 	metricUnmatched       = counter("foreign_answers_total", "Answers of the local backend server that belong to no waiting request.")
 	metricUnreadable      = counter("requests_unreadable_total", "Requests of callers that are no HTTP or exceed a limit.")
 	metricReads           = counter("store_reads_total", "Reads of the store by their result.", "result")
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -34,7 +34,7 @@
 	Convey("Events about the ends of requests, the store, upstreams and the configuration are among the last to be dropped", t, func() {
 		for _, event := range []string{eventRefused, eventNotAdmitted, eventTruncated, eventCallerLeft, eventCut, eventExchangeFailed, eventNotParsed,
 			eventStoreLost, eventStoreRecovered, eventSourceFailed, eventConfig, eventConfigRefused, eventListed, eventRemoved, eventExpired,
-			eventStarted, eventStopping, eventStopped, eventSummary} {
+			eventBackendCrashed, eventStarted, eventStopping, eventStopped, eventSummary} {
 			So(lowPriority[event], ShouldBeFalse)
 		}
 	})
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,7 +46,7 @@
 	fields := []zap.Field{
 		zap.String("id", c.head.ID), zap.String("route", c.route.Name), zap.String("service", c.outgoing.Service),
 		zap.String("upstream", c.step.Upstream.ID), zap.String("zone", c.step.Upstream.Zone),
-		zap.Duration("load_age", c.step.LoadAge), zap.Bool("may_queue", c.step.MayQueue),
+		fingerprintField(c.fingerprint), zap.Duration("load_age", c.step.LoadAge), zap.Bool("may_queue", c.step.MayQueue),
 		zap.Stringer("result", report.Result),
 	}
 	if report.HasLoad {
@@ -105,5 +106,10 @@
 	}))
 }
 
+// fingerprintField returns a log field with the fingerprint of a request.
+func fingerprintField(fp uint64) zap.Field {
+	return zap.String("fingerprint", strconv.FormatUint(fp, 16))
+}
+
 // errorField returns a log field with an error but without its stack, to keep it on one line.
 func errorField(err error) zap.Field { return zap.String("error", err.Error()) }
