mesh: refuse requests that crash the upstreams that run them

Cause: the containment of such requests, core/quarantine, was used by core/node alone, so that the data path of the platform's daemon had none. The class: a decision that one of two data paths lacks. Ruled out by the failing test: one ID at more upstreams than its route allows (each reached at most as many), and the retry budget (the repeats are requests of their own, which no budget counts).

Change: mesh keeps a quarantine.Tracker. A connection refused after one that was accepted is a crash, and the requests that were running are its suspects, unless the backend server was leaving. After three crashes that no other suspects explain, equal requests get 503 with a Retry-After until the quarantine ends: they have not run, and every daemon knows. A 4xx would be the caller's fault, which a daemon can't tell; after 502 callers repeat at once. Reports go with the request and its reply, to four random peers when they are new to a daemon, and to one random peer a second while there are any; a starting daemon fetches them from a peer. Nothing depends on the size of the fleet: directory.Sample and an index by address replace walks over all upstreams.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -9,6 +9,7 @@
 package directory
 
 import (
+	"math/rand/v2"
 	"sort"
 	"time"
 )
@@ -63,8 +64,15 @@
 	storeUnavailable bool
 	recoveredAt      time.Time
 	departures       departures
-	// byService holds the result of Serving, nil if it is out of date.
-	byService map[string][]Upstream
+	// index is nil if it is out of date.
+	index *index
+}
+
+// index holds the upstreams in the orders in which they are looked up.
+type index struct {
+	all       []Upstream
+	serving   map[string][]Upstream // those that take new work, by service, ordered by ID
+	byAddress map[string]Upstream
 }
 
 // New returns an empty directory.
@@ -91,7 +99,7 @@
 		}
 	}
 	d.entries[u.ID] = &entry{Upstream: u}
-	d.byService = nil
+	d.index = nil
 	return true
 }
 
@@ -131,7 +139,7 @@
 func (d *Directory) drop(e *entry) {
 	d.departures.add(e.Upstream)
 	delete(d.entries, e.ID)
-	d.byService = nil
+	d.index = nil
 }
 
 // inGrace reports whether an entry that the store does not list may belong to a running
@@ -216,41 +224,55 @@
 // Serving returns the upstreams of a service that take new work, ordered by ID. The caller
 // must not change the slice.
 func (d *Directory) Serving(service string) []Upstream {
-	if d.byService == nil {
-		d.indexByService()
-	}
-	return d.byService[service]
+	return d.indexed().serving[service]
 }
 
-func (d *Directory) indexByService() {
-	d.byService = make(map[string][]Upstream)
+// indexed returns the index, and builds it first if it is out of date.
+func (d *Directory) indexed() *index {
+	if d.index != nil {
+		return d.index
+	}
+	x := &index{serving: make(map[string][]Upstream), byAddress: make(map[string]Upstream)}
 	for _, e := range d.entries {
+		x.all = append(x.all, e.Upstream)
+		x.byAddress[e.Address] = e.Upstream
 		if !e.Draining {
-			d.byService[e.Service] = append(d.byService[e.Service], e.Upstream)
+			x.serving[e.Service] = append(x.serving[e.Service], e.Upstream)
 		}
 	}
-	for _, list := range d.byService {
+	for _, list := range x.serving {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
+	d.index = x
+	return x
 }
 
 // At returns the upstream at an address, including a draining one, and whether there is one.
 func (d *Directory) At(address string) (Upstream, bool) {
-	for _, e := range d.entries {
-		if e.Address == address {
-			return e.Upstream, true
-		}
-	}
-	return Upstream{}, false
+	u, ok := d.indexed().byAddress[address]
+	return u, ok
 }
 
-// All returns all upstreams, including draining and lapsed ones, in no particular order.
-func (d *Directory) All() []Upstream {
-	all := make([]Upstream, 0, len(d.entries))
-	for _, e := range d.entries {
-		all = append(all, e.Upstream)
+// All returns all upstreams, including draining and lapsed ones, in no particular order. The
+// caller must not change the slice.
+func (d *Directory) All() []Upstream { return d.indexed().all }
+
+// Sample returns up to n upstreams, chosen at random from those at other addresses.
+func (d *Directory) Sample(random *rand.Rand, n int, excluded string) []Upstream {
+	all := d.All()
+	if _, ok := d.At(excluded); ok {
+		n = min(n, len(all)-1)
+	}
+	var sample []Upstream
+	chosen := make(map[int]bool)
+	for len(sample) < min(n, len(all)) {
+		i := random.IntN(len(all))
+		if !chosen[i] && all[i].Address != excluded {
+			chosen[i] = true
+			sample = append(sample, all[i])
+		}
 	}
-	return all
+	return sample
 }
 
 // Len returns the number of upstreams, including draining and lapsed ones.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -47,6 +47,8 @@
 	// bodySpent is the reason for ending a request that can't be sent again, because part of its
 	// body was sent.
 	bodySpent = "body_spent"
+	// quarantined is the reason for ending a request that crashes upstreams.
+	quarantined = "quarantined"
 )
 
 // Config holds the settings of a Dispatcher.
@@ -183,6 +185,16 @@
 	return Step{Code: code, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter), Reason: reason}
 }
 
+// refuseQuarantined ends a request that crashes upstreams. Callers may retry when the quarantine
+// ends, after the given time, which is usually later than they wait.
+func (d *Dispatcher) refuseQuarantined(req *OutgoingRequest, left time.Duration) Step {
+	step := d.refuse(req, resultcode.Quarantined, 0, quarantined)
+	if step.Code == resultcode.Quarantined {
+		step.RetryAfter = left
+	}
+	return step
+}
+
 // choose returns the upstream to ask next, and whether it is expected to have a free slot.
 func (d *Dispatcher) choose(now time.Time, req *OutgoingRequest, usable []*upstreamState) (*upstreamState, bool) {
 	maxFailureShare := lowestFailureShare(now, usable) + maxExcessFailures
@@ -310,6 +322,8 @@
 			return d.refuse(req, resultcode.BackendRefused, 0, bodySpent)
 		}
 		return d.Next(now, req)
+	case Quarantined:
+		return d.refuseQuarantined(req, report.Wait)
 	case Unsent:
 		return d.refuse(req, resultcode.QueueTimeout, req.minWait, "time_over")
 	case Expired:
@@ -411,6 +425,8 @@
 		return "stopping", false
 	case !report.Retryable:
 		return bodySpent, false
+	case report.Quarantined:
+		return quarantined, false
 	case !req.Route.Idempotent && report.Result != Rejected:
 		return "not_idempotent", false
 	case req.sent >= req.Route.MaxUpstreams:
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -89,6 +89,8 @@
 	Expired
 	// Unsent: the time of the request ran out before it was sent.
 	Unsent
+	// Quarantined: earlier runs of equal requests crashed upstreams; the request has not run.
+	Quarantined
 )
 
 // Report is the outcome of one attempt and the data that came with it.
@@ -97,13 +99,16 @@
 	// Load is the load of the upstream, valid if HasLoad is set.
 	Load    slots.Load
 	HasLoad bool
-	// Wait is the expected time until a slot is free, for Refused and Rejected.
+	// Wait is the expected time until a slot is free, for Refused and Rejected, or until the
+	// quarantine ends, for Quarantined.
 	Wait time.Duration
 	// Elapsed is the time from sending the request to the answer.
 	Elapsed time.Duration
 	// Retryable says that the request can be sent again: its body is still available, and no
 	// part of an answer was passed on.
 	Retryable bool
+	// Quarantined says that equal requests are now known to crash upstreams.
+	Quarantined bool
 }
 
 // Sent reports whether the request reached the backend server.
@@ -118,7 +123,7 @@
 
 // String returns the name of the result for logs and counters.
 func (r Result) String() string {
-	names := [...]string{"none", "refused", "leaving", "silent", "misplaced", "rejected", "failed", "lost", "answered", "expired", "unsent"}
+	names := [...]string{"none", "refused", "leaving", "silent", "misplaced", "rejected", "failed", "lost", "answered", "expired", "unsent", "quarantined"}
 	if int(r) >= len(names) {
 		return "invalid"
 	}
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// RefusedFor returns how long a request with this fingerprint will be refused, 0 if it is not.
+func (t *Tracker) RefusedFor(now time.Time, fp uint64) time.Duration {
+	if t.Check(now, fp) != Refuse {
+		return 0
+	}
+	return max(t.entries[fp].expires.Sub(t.now), 0)
+}
+
 // decideRefusal reports whether the entry is refused, and decides it first if the
 // evidence has changed since the last decision. A refusal stays in force when the
 // crashes behind it are evicted or expire.
@@ -287,5 +295,14 @@
 	return reports[:min(len(reports), max(limit, 0))]
 }
 
+// ReportsOf returns what is known of one fingerprint, nil if nothing is. Sent along with a request,
+// it reaches the daemon beside the next backend server before the request runs there.
+func (t *Tracker) ReportsOf(fp uint64) []Report {
+	if e := t.entries[fp]; e != nil {
+		return e.allReports()
+	}
+	return nil
+}
+
 // Len returns the number of fingerprints with a report, a refusal or a clearance.
 func (t *Tracker) Len() int { return len(t.entries) }
--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -47,6 +47,8 @@
 	Objective, Deadline time.Time
 	// MayQueue allows the request to be queued: the caller has no better server to ask.
 	MayQueue bool
+	// Isolated marks requests of which at most one runs at a time.
+	Isolated bool
 }
 
 // Verdict says what happens to a request.
@@ -118,12 +120,14 @@
 type Limiter struct {
 	limit   int
 	closed  bool
-	running map[uint64]string // kind by request ID
-	queue   []waitingRequest  // by rank, then by arrival
-	run     average           // over all kinds
-	byKind  map[string]*average
-	failing float64
-	demand  map[int]*demand // by rank
+	running map[uint64]activeRun // by request ID
+	queue   []waitingRequest     // by rank, then by arrival
+	// isolatedRuns and isolatedWaiting count the isolated requests that run and that are queued.
+	isolatedRuns, isolatedWaiting int
+	run                           average // over all kinds
+	byKind                        map[string]*average
+	failing                       float64
+	demand                        map[int]*demand // by rank
 }
 
 // demand is the run time requested by one rank, as an exponentially decaying sum with
@@ -141,6 +145,12 @@
 	d.sum, d.updatedAt = d.now(now)+run, now
 }
 
+// activeRun is one running request.
+type activeRun struct {
+	kind     string
+	isolated bool
+}
+
 type waitingRequest struct {
 	Request
 	// startBy is the latest useful start, as computed at arrival.
@@ -163,7 +173,7 @@
 
 // New returns an open limiter for a backend server with the given number of slots.
 func New(slots int) *Limiter {
-	l := &Limiter{running: make(map[uint64]string), byKind: make(map[string]*average), demand: make(map[int]*demand)}
+	l := &Limiter{running: make(map[uint64]activeRun), byKind: make(map[string]*average), demand: make(map[int]*demand)}
 	l.SetSlots(slots)
 	return l
 }
@@ -184,7 +194,7 @@
 	for _, w := range l.queue {
 		events = append(events, Event{ID: w.ID, Decision: Decision{Verdict: Refuse, Reason: Closed}})
 	}
-	l.queue = nil
+	l.queue, l.isolatedWaiting = nil, 0
 	return events
 }
 
@@ -200,10 +210,10 @@
 	}
 	l.addDemand(now, r.Rank, run)
 	position := l.queuePosition(r.Rank)
-	wait := l.expectedWait(now, position, r.Rank)
+	wait := l.expectedWait(now, position, r)
 	switch {
 	case wait == 0:
-		l.running[r.ID] = r.Kind
+		l.start(r)
 		return Decision{Verdict: Start}
 	case !r.MayQueue:
 		return Decision{Verdict: Refuse, Reason: NoRoom, Wait: wait}
@@ -215,9 +225,74 @@
 	l.queue = append(l.queue, waitingRequest{})
 	copy(l.queue[position+1:], l.queue[position:])
 	l.queue[position] = waitingRequest{Request: r, startBy: startBy}
+	if r.Isolated {
+		l.isolatedWaiting++
+	}
 	return Decision{Verdict: Wait, Wait: wait}
 }
 
+func (l *Limiter) start(r Request) {
+	l.running[r.ID] = activeRun{kind: r.Kind, isolated: r.Isolated}
+	if r.Isolated {
+		l.isolatedRuns++
+	}
+}
+
+// end removes a running request and returns its kind, and false if it is not running.
+func (l *Limiter) end(id uint64) (kind string, ok bool) {
+	r, ok := l.running[id]
+	delete(l.running, id)
+	if r.isolated {
+		l.isolatedRuns--
+	}
+	return r.kind, ok
+}
+
+// dequeue removes the request at a position of the queue.
+func (l *Limiter) dequeue(position int) waitingRequest {
+	w := l.queue[position]
+	l.queue = append(l.queue[:position], l.queue[position+1:]...)
+	if w.Isolated {
+		l.isolatedWaiting--
+	}
+	return w
+}
+
+// Isolate marks a queued request as isolated.
+func (l *Limiter) Isolate(id uint64) {
+	for i := range l.queue {
+		if w := &l.queue[i]; w.ID == id && !w.Isolated {
+			w.Isolated = true
+			l.isolatedWaiting++
+		}
+	}
+}
+
+// blocked reports whether a request has to wait for the end of an isolated run.
+func (l *Limiter) blocked(r Request) bool { return r.Isolated && l.isolatedRuns > 0 }
+
+// unblockedAhead counts the requests before a position of the queue that need only a slot.
+func (l *Limiter) unblockedAhead(position int) int {
+	if l.isolatedRuns == 0 {
+		return position
+	}
+	return position - l.isolatedAhead(position)
+}
+
+// isolatedAhead counts the isolated requests before a position of the queue.
+func (l *Limiter) isolatedAhead(position int) int {
+	if l.isolatedWaiting == 0 {
+		return 0
+	}
+	n := 0
+	for _, w := range l.queue[:position] {
+		if w.Isolated {
+			n++
+		}
+	}
+	return n
+}
+
 // latestStart returns the time by which a request must start: early enough to meet its
 // objective, or within lateWaitShare of the time left beyond its run, whichever is later.
 func latestStart(now time.Time, r Request, run time.Duration) time.Time {
@@ -276,18 +351,21 @@
 	return max(1-float64(demanded)/(float64(l.limit)*float64(demandTimeConstant)), minRankShare)
 }
 
-// expectedWait returns the expected time until a request of a rank starts, given the number
-// of requests ahead of it in the queue. It allows for more important requests that arrive
-// meanwhile and start before it.
-func (l *Limiter) expectedWait(now time.Time, ahead, rank int) time.Duration {
-	if len(l.running) < l.limit && ahead == 0 {
-		return 0
-	}
+// expectedWait returns the expected time until a request starts, given its position in the queue.
+// It allows for more important requests that arrive meanwhile and start before it.
+func (l *Limiter) expectedWait(now time.Time, position int, r Request) time.Duration {
 	run := l.run.value
 	if !l.run.known {
 		run = initialRun
 	}
-	return time.Duration(float64(run) * float64(ahead+1) / (float64(l.limit) * l.slotShare(now, rank)))
+	wait := time.Duration(0)
+	if ahead := l.unblockedAhead(position); len(l.running) >= l.limit || ahead > 0 {
+		wait = time.Duration(float64(run) * float64(ahead+1) / (float64(l.limit) * l.slotShare(now, r.Rank)))
+	}
+	if l.blocked(r) {
+		wait = max(wait, run*time.Duration(l.isolatedAhead(position)+1))
+	}
+	return wait
 }
 
 // AverageRun returns the average run time of a kind, 0 if unknown.
@@ -301,11 +379,10 @@
 // Done ends a run, records its outcome, and returns the decisions about queued requests. It
 // does nothing if no request with the ID is running.
 func (l *Limiter) Done(now time.Time, id uint64, outcome Outcome) []Event {
-	kind, ok := l.running[id]
+	kind, ok := l.end(id)
 	if !ok {
 		return nil
 	}
-	delete(l.running, id)
 	l.recordOutcome(kind, outcome)
 	return l.startWaiting(now, nil)
 }
@@ -335,7 +412,7 @@
 func (l *Limiter) Cancel(id uint64) {
 	for i := range l.queue {
 		if l.queue[i].ID == id {
-			l.queue = append(l.queue[:i], l.queue[i+1:]...)
+			l.dequeue(i)
 			return
 		}
 	}
@@ -348,9 +425,12 @@
 	events := l.startWaiting(now, nil)
 	remaining := l.queue[:0]
 	for _, w := range l.queue {
-		wait := l.expectedWait(now, len(remaining), w.Rank)
+		wait := l.expectedWait(now, len(remaining), w.Request)
 		if now.After(w.startBy) || now.Add(wait).After(now.Add(time.Duration(maxWaitFactor*float64(w.startBy.Sub(now))))) {
 			events = append(events, Event{ID: w.ID, Decision: Decision{Verdict: Refuse, Reason: WaitTooLong, Wait: wait}})
+			if w.Isolated {
+				l.isolatedWaiting--
+			}
 			continue
 		}
 		remaining = append(remaining, w)
@@ -360,14 +440,17 @@
 }
 
 func (l *Limiter) startWaiting(now time.Time, events []Event) []Event {
-	for len(l.queue) > 0 && len(l.running) < l.limit {
-		next := l.queue[0]
-		l.queue = append(l.queue[:0], l.queue[1:]...)
+	for position := 0; position < len(l.queue) && len(l.running) < l.limit; {
+		if l.blocked(l.queue[position].Request) {
+			position++
+			continue
+		}
+		next := l.dequeue(position)
 		if next.Deadline.Sub(now) < l.AverageRun(next.Kind)/2 {
 			events = append(events, Event{ID: next.ID, Decision: Decision{Verdict: Refuse, Reason: TooLate}})
 			continue
 		}
-		l.running[next.ID] = next.Kind
+		l.start(next.Request)
 		events = append(events, Event{ID: next.ID, Decision: Decision{Verdict: Start}})
 	}
 	return events
@@ -381,6 +464,6 @@
 // Release frees the slot of a request that was started but whose slot was not used, without
 // recording an outcome. It returns the decisions about queued requests.
 func (l *Limiter) Release(now time.Time, id uint64) []Event {
-	delete(l.running, id)
+	l.end(id)
 	return l.startWaiting(now, nil)
 }
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -71,8 +71,8 @@
 
 // roundTrip sends a request and reads the header of its answer. sent says whether any part of
 // the request may have reached the backend server. Nothing is sent after ctx has ended; the
-// connection is closed when graceCtx ends.
-func (b *backend) roundTrip(ctx, graceCtx context.Context, req *http.Request) (ex *exchange, sent bool, err error) {
+// connection is closed when graceCtx ends. onSend is called before anything is sent.
+func (b *backend) roundTrip(ctx, graceCtx context.Context, req *http.Request, onSend func()) (ex *exchange, sent bool, err error) {
 	conn, err := b.openConnection(ctx)
 	if err != nil {
 		return nil, false, err
@@ -82,6 +82,7 @@
 		return nil, false, ctx.Err()
 	}
 	ex = &exchange{backend: b, conn: conn, request: req}
+	onSend()
 	ex.cancelClose = context.AfterFunc(graceCtx, func() { _ = conn.Close() })
 	if err := ex.send(req); err != nil {
 		ex.abort()
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -32,6 +32,10 @@
 		c.refuse(code, notServingRetryAfter, code.String())
 		return
 	}
+	if left := d.quarantinedFor(c.fingerprint); left > 0 {
+		c.refuse(resultcode.Quarantined, left, resultcode.Quarantined.String())
+		return
+	}
 	c.run()
 }
 
@@ -224,6 +228,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.outgoing.Deadline)
 	defer cancel()
 	ask := c.ask(step)
+	ask.Reports = c.daemon.reportsOf(c.fingerprint)
 	var reply Reply
 	var answer *pendingAnswer
 	var result dispatch.Result
@@ -235,6 +240,7 @@
 	if result == 0 {
 		result = c.classify(&reply)
 	}
+	c.daemon.receiveReports(reply.Reports)
 	c.daemon.notePeerState(reply.State, c.daemon.peerAddress(step.Upstream.Address))
 	if reply.Outcome != 0 {
 		c.daemon.recordBlocked(c.route, c.outgoing.Service, &reply)
@@ -247,6 +253,7 @@
 	report := dispatch.Report{
 		Result: result, Load: reply.Load, HasLoad: reply.Outcome != 0,
 		Wait: reply.Wait, Retryable: retryable,
+		Quarantined: result.Sent() && c.daemon.quarantinedFor(c.fingerprint) > 0,
 	}
 	if reply.Answer != nil {
 		report.Elapsed = reply.Answer.Elapsed
@@ -289,6 +296,8 @@
 	switch reply.Outcome {
 	case OutcomeRefused:
 		return dispatch.Refused
+	case OutcomeQuarantined:
+		return dispatch.Quarantined
 	case OutcomeLeaving:
 		return dispatch.Leaving
 	case OutcomeWrongUpstream:
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -2,11 +2,37 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 	"go.uber.org/zap"
+
+	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
+	"github.com/hawthornpoint/hawthornpoint/core/slots"
+	"github.com/hawthornpoint/hawthornpoint/resultcode"
+)
+
+const (
+	// reportedPeers is how many peers each daemon sends reports to that are new to it. Nearly all
+	// daemons receive them; the others do with an exchange.
+	reportedPeers = 4
+	// reportPause is the pause after reports were sent, in which further ones are collected.
+	reportPause = 20 * time.Millisecond
+	// maxSentReports bounds the reports in one message. It exceeds the requests that a backend
+	// server usually runs at once, so that a crash is reported in one message.
+	maxSentReports = 512
+	// maxUnsentReports bounds the reports that wait to be sent. Those beyond it reach peers with
+	// exchanges.
+	maxUnsentReports = 4096
+	// reportExchangeInterval is the time between two exchanges of reports with a random peer
+	// while there are any, and firstExchangeInterval that until the first one has succeeded.
+	reportExchangeInterval = time.Second
+	firstExchangeInterval  = 100 * time.Millisecond
+	// maxExchangedReports bounds the reports that each side of an exchange sends.
+	maxExchangedReports = 64
 )
 
 // crashRecheckDelay is how long after the end of a connection a backend server that accepted a new
@@ -35,12 +61,19 @@
 	}
 }
 
-// recordCrash records a crash of the backend server. d.mu is held.
+// recordCrash records a crash of the backend server. The requests that run there become suspects,
+// unless the backend server was leaving. d.mu is held.
 func (d *Daemon) recordCrash() {
 	local, listed := d.dir.At(d.settings.BackendAddress)
+	leaving := !listed || local.Draining
+	var reports []quarantine.Report
+	if !leaving {
+		reports = d.crashes.BackendCrashed(time.Now(), uuid.New())
+		d.spreadReports("made", reports)
+	}
 	d.metrics.Count(metricCrashes)
 	d.log.Warn(eventBackendCrashed, zap.String("upstream", local.ID), zap.Int64("incarnation", local.Incarnation),
-		zap.Bool("listed", listed), zap.Bool("draining", local.Draining), zap.Int("running", d.limiter.Load().Running))
+		zap.Bool("leaving", leaving), zap.Int("running", d.limiter.Load().Running), zap.Int("reports", len(reports)))
 }
 
 // checkCrash opens a connection to the backend server after it ended one, and calls done when it
@@ -68,3 +101,187 @@
 		}
 	})
 }
+
+// callID returns the ID of an attempt in the crash tracker.
+func (a *localAttempt) callID() (id uuid.UUID) {
+	binary.BigEndian.PutUint64(id[8:], a.id)
+	return id
+}
+
+// recordRunStart records that the request is about to be sent to the backend server.
+func (d *Daemon) recordRunStart(a *localAttempt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crashes.CallStarted(a.fingerprint, a.callID())
+}
+
+// recordRunEnd records that the run of a request has ended, if it had started. An answered run
+// clears the suspicion of equal requests.
+func (d *Daemon) recordRunEnd(a *localAttempt, answered bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if cleared := d.crashes.CallEnded(a.callID(), answered); len(cleared) > 0 {
+		d.log.Info(eventCleared, zap.String("id", a.requestID), fingerprintField(a.fingerprint))
+		d.spreadReports("made", cleared)
+	}
+}
+
+// quarantinedFor returns how long equal requests are refused, 0 if they are not.
+func (d *Daemon) quarantinedFor(fp uint64) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashes.RefusedFor(time.Now(), fp)
+}
+
+// refuseQuarantined releases the slot of a request that has been quarantined since it asked for
+// the slot, and reports whether it has been.
+func (d *Daemon) refuseQuarantined(a *localAttempt) (slots.Decision, bool) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.crashes.Check(now, a.fingerprint) != quarantine.Refuse {
+		return slots.Decision{}, false
+	}
+	d.deliverDecisions(d.limiter.Release(now, a.id))
+	return d.quarantined(now, a), true
+}
+
+// quarantined returns the decision to refuse a request that is quarantined. d.mu is held.
+func (d *Daemon) quarantined(now time.Time, a *localAttempt) slots.Decision {
+	left := d.crashes.RefusedFor(now, a.fingerprint)
+	d.log.Info(eventSlotRefused, zap.String("id", a.requestID), zap.String("kind", a.kind), zap.String("origin", a.origin),
+		fingerprintField(a.fingerprint), zap.Duration("wait", left), zap.String("reason", resultcode.Quarantined.String()))
+	return slots.Decision{Verdict: slots.Refuse, Reason: slots.Reason(resultcode.Quarantined.String()), Wait: left}
+}
+
+// reportsOf returns the reports about requests with the fingerprint.
+func (d *Daemon) reportsOf(fp uint64) []quarantine.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashes.ReportsOf(fp)
+}
+
+// receiveReports merges reports that came with a reply.
+func (d *Daemon) receiveReports(reports []quarantine.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mergeReports(time.Now(), reports)
+}
+
+// mergeReports merges reports of a peer, and isolates the waiting requests that become suspects.
+// d.mu is held.
+func (d *Daemon) mergeReports(now time.Time, reports []quarantine.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	added := d.crashes.Merge(now, reports)
+	if len(added) == 0 {
+		return
+	}
+	d.spreadReports("received", added)
+	for id, a := range d.waiting {
+		if d.crashes.Check(now, a.fingerprint) == quarantine.Isolate {
+			d.limiter.Isolate(id)
+		}
+	}
+}
+
+// spreadReports queues reports that are new to this daemon for some of its peers. d.mu is held.
+func (d *Daemon) spreadReports(source string, reports []quarantine.Report) {
+	for _, r := range reports {
+		d.metrics.Count(metricReports, source)
+		if r.Refused {
+			d.log.Warn(eventQuarantined, fingerprintField(r.Fingerprint), zap.Time("newest_crash", r.At), zap.String("source", source))
+		}
+		if len(d.unsentReports) >= maxUnsentReports {
+			d.metrics.Count(metricReports, "not_sent")
+			continue
+		}
+		d.unsentReports = append(d.unsentReports, r)
+	}
+	if len(reports) > 0 {
+		d.wakeReportLoop()
+	}
+}
+
+func (d *Daemon) wakeReportLoop() {
+	select {
+	case d.wakeReports <- struct{}{}:
+	default:
+	}
+}
+
+// reportLoop sends new reports to some peers at once, and exchanges reports with a random peer
+// from time to time.
+func (d *Daemon) reportLoop() {
+	for d.ctx.Err() == nil {
+		timer := time.NewTimer(d.exchangeInterval())
+		select {
+		case <-d.ctx.Done():
+		case <-timer.C:
+			d.exchangeReports()
+		case <-d.wakeReports:
+			d.sendReports()
+			d.pause(reportPause)
+		}
+		timer.Stop()
+	}
+}
+
+func (d *Daemon) exchangeInterval() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.reportsFetched {
+		return reportExchangeInterval
+	}
+	return firstExchangeInterval
+}
+
+// sendReports sends the reports that are new to this daemon to some peers.
+func (d *Daemon) sendReports() {
+	d.mu.Lock()
+	n := min(len(d.unsentReports), maxSentReports)
+	args := &ReportsArgs{Reports: d.unsentReports[:n:n]}
+	d.unsentReports = d.unsentReports[n:]
+	if len(d.unsentReports) > 0 {
+		d.wakeReportLoop()
+	}
+	addresses := d.randomPeers(reportedPeers)
+	d.mu.Unlock()
+	for _, address := range addresses {
+		d.workers.Go(func() { d.callReports(address, args) })
+	}
+}
+
+// exchangeReports exchanges reports with a random peer if this daemon has any, or has not yet
+// received those of a peer.
+func (d *Daemon) exchangeReports() {
+	now := time.Now()
+	d.mu.Lock()
+	addresses := d.randomPeers(1)
+	if d.reportsFetched && d.crashes.Len() == 0 {
+		addresses = nil
+	}
+	args := &ReportsArgs{Reports: d.crashes.Reports(now, maxExchangedReports), Exchange: true}
+	d.mu.Unlock()
+	for _, address := range addresses {
+		d.callReports(address, args)
+	}
+}
+
+func (d *Daemon) callReports(address string, args *ReportsArgs) {
+	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
+	defer cancel()
+	reply, err := callPeer[ReportsReply](ctx, d.peer(address), "Reports", args)
+	if err != nil {
+		d.metrics.Count(metricFailedNotices)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reportsFetched = d.reportsFetched || args.Exchange
+	d.mergeReports(time.Now(), reply.Reports)
+}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -115,6 +115,9 @@
 	lastID           uint64
 	retryRuns        int // number of local runs that are retries
 	liveness         quarantine.Liveness
+	crashes          *quarantine.Tracker
+	unsentReports    []quarantine.Report // crash reports to be sent to peers
+	reportsFetched   bool                // a peer has answered an exchange of reports
 	callGraph        *callgraph.Observer
 	callMeter        *loadshed.Meter // blocked shares of the calls of the local backend server
 	entryMeter       *loadshed.Meter // blocked shares of new requests of callers
@@ -144,7 +147,8 @@
 	peersMu sync.Mutex // guards peers
 	peers   map[string]*peer
 
-	wakeSync chan struct{} // wakes peerLoop
+	wakeSync    chan struct{} // wakes peerLoop
+	wakeReports chan struct{} // wakes reportLoop
 
 	// starting ends when a stopping daemon starts no further attempts.
 	starting     context.Context
@@ -185,6 +189,7 @@
 		splitter: routing.Splitter{Rand: opts.Rand},
 		sources:  watchers.New(watchers.Daemon{Address: settings.BackendAddress, Zone: settings.Zone}), changed: make(chan struct{}),
 		waiting: make(map[uint64]*localAttempt), peers: make(map[string]*peer), wakeSync: make(chan struct{}, 1),
+		crashes: quarantine.New(quarantine.Config{}), wakeReports: make(chan struct{}, 1),
 	}
 	d.grace, d.seeds = settings.Grace, settings.Seeds
 	d.workers = workgroup.New()
@@ -217,6 +222,7 @@
 	d.workers.Go(d.tickLoop)
 	d.workers.Go(d.storeLoop)
 	d.workers.Go(d.peerLoop)
+	d.workers.Go(d.reportLoop)
 	d.workers.Go(d.summaryLoop)
 	d.log.Info(eventStarted, zap.String("name", d.settings.Name), zap.String("zone", d.settings.Zone),
 		zap.String("service", d.settings.Service), zap.String("backend", d.settings.BackendAddress))
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -28,6 +28,8 @@
 	eventPeerSilent     = "peer connection silent"
 	eventGate           = "gate"
 	eventBackendCrashed = "backend server crashed"
+	eventQuarantined    = "request quarantined"
+	eventCleared        = "crash suspect cleared"
 	eventPanic          = "panic"
 
 	eventNotParsed      = "request not parsed"
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
 )
@@ -121,12 +122,18 @@
 	if d.stopping || a.withdrawn || known && local.ID == args.Instance && local.Draining {
 		return slots.Decision{Reason: slots.Closed}, OutcomeLeaving
 	}
+	d.mergeReports(now, args.Reports)
+	verdict := d.crashes.Check(now, args.Fingerprint)
+	if verdict == quarantine.Refuse {
+		return d.quarantined(now, a), OutcomeQuarantined
+	}
 	d.callGraph.Observe(args.Kind, args.CallerService)
 	d.lastID++
 	a.id = d.lastID
 	decision := d.limiter.Admit(now, slots.Request{
 		ID: a.id, Kind: args.Kind, Rank: args.Rank, MayQueue: args.MayQueue,
 		Objective: now.Add(args.UntilObjective), Deadline: now.Add(args.Left),
+		Isolated: verdict == quarantine.Isolate,
 	})
 	switch decision.Verdict {
 	case slots.Refuse:
@@ -207,9 +214,11 @@
 func (d *Daemon) reply(a *localAttempt, outcome Outcome, decision slots.Decision) Reply {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	return Reply{
 		Outcome: outcome, Reason: string(decision.Reason), Wait: decision.Wait,
-		Load: d.limiter.Load(), Call: d.callGraph.IsCall(a.kind), Blocked: d.callMeter.Shares(time.Now()), State: d.state(),
+		Load: d.limiter.Load(), Call: d.callGraph.IsCall(a.kind), Blocked: d.callMeter.Shares(now), State: d.state(),
+		Reports: d.crashes.ReportsOf(a.fingerprint),
 	}
 }
 
@@ -239,6 +248,9 @@
 // out or the caller has left, run returns at once; the exchange may continue for
 // exchangeGrace.
 func (d *Daemon) run(a *localAttempt, payload *Payload, left time.Duration) Reply {
+	if decision, refused := d.refuseQuarantined(a); refused {
+		return d.reply(a, OutcomeQuarantined, decision)
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, left)
 	graceCtx, cancelGrace := context.WithCancel(context.Background())
 	stop := context.AfterFunc(ctx, func() {
@@ -283,6 +295,7 @@
 func (d *Daemon) tryExchange(ctx, graceCtx context.Context, a *localAttempt, payload *Payload, left time.Duration) (r Reply) {
 	defer d.recoverPanic(panicExchange, &a.requestID, func() {
 		a.stopRun()
+		d.recordRunEnd(a, false)
 		d.releaseSlot(a, slots.Outcome{Failed: true})
 		r = d.reply(a, OutcomeLost, slots.Decision{Reason: "panic"})
 	})
@@ -299,7 +312,7 @@
 		d.releaseSlot(a, slots.Outcome{Failed: true})
 		return d.reply(a, OutcomeUnsent, slots.Decision{Reason: "bad_request"})
 	}
-	ex, sent, err := d.backend.roundTrip(ctx, graceCtx, req)
+	ex, sent, err := d.backend.roundTrip(ctx, graceCtx, req, func() { d.recordRunStart(a) })
 	if err != nil {
 		a.stopRun()
 		return d.replyWithoutAnswer(ctx, a, sent, started, err)
@@ -358,7 +371,9 @@
 		reason = "canceled"
 	}
 	if reason == "no_answer" {
-		d.checkCrash(func() {})
+		d.checkCrash(func() { d.recordRunEnd(a, false) })
+	} else {
+		d.recordRunEnd(a, false)
 	}
 	elapsed := time.Since(started)
 	d.metrics.Observe(metricBackendTime, elapsed, a.kind, reason)
@@ -384,6 +399,7 @@
 		return d.replyWithoutAnswer(ctx, a, true, started, errors.Wrap(err, "read body"))
 	}
 	elapsed := time.Since(started)
+	d.recordRunEnd(a, last && !head.NotExecuted && !head.Failed)
 	d.releaseSlot(a, slots.Outcome{Elapsed: elapsed, Rejected: head.NotExecuted, Failed: head.Failed})
 	d.metrics.Observe(metricBackendTime, elapsed, a.kind, exchangeOutcome(head))
 	switch {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hawthornpoint/hawthornpoint/core/loadshed"
+	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
 )
@@ -45,6 +46,8 @@
 	UntilObjective, Left time.Duration
 	// MayQueue allows the request to wait for a slot.
 	MayQueue bool
+	// Reports are crash reports of requests with the fingerprint.
+	Reports []quarantine.Report
 	// Repeat says that this is a retry: the request was sent to an upstream before.
 	Repeat bool
 	// Payload is the request itself, which is run as soon as it has a slot. If it is nil, only
@@ -94,6 +97,8 @@
 	OutcomeExpired
 	// OutcomeUnsent: the time ran out, or the attempt was cancelled, before the request was sent.
 	OutcomeUnsent
+	// OutcomeQuarantined: equal requests crashed upstreams; the request has not run.
+	OutcomeQuarantined
 )
 
 // Reply answers AskArgs and RunArgs.
@@ -101,7 +106,8 @@
 	Outcome Outcome
 	// Reason names the deciding input, for the log.
 	Reason string
-	// Wait is the expected time until a slot is free.
+	// Wait is the expected time until a slot is free or, for OutcomeQuarantined, until the
+	// quarantine ends.
 	Wait time.Duration
 	// Load is the load of the backend server.
 	Load slots.Load
@@ -112,6 +118,8 @@
 	Call bool
 	// Blocked holds the blocked shares of the upstream's calls, by service.
 	Blocked []loadshed.Share
+	// Reports are crash reports of requests with the fingerprint of this one.
+	Reports []quarantine.Report
 	// State is what the daemon has received from the store.
 	State replica.State
 }
@@ -177,6 +185,15 @@
 	Doubtful time.Duration
 }
 
+// ReportsArgs carries crash reports. With Exchange set, the peer's reports are requested.
+type ReportsArgs struct {
+	Reports  []quarantine.Report
+	Exchange bool
+}
+
+// ReportsReply answers ReportsArgs.
+type ReportsReply struct{ Reports []quarantine.Report }
+
 // PingArgs tests a connection and carries the state of the sender; zero if From is empty.
 type PingArgs struct {
 	State replica.State
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -21,6 +21,7 @@
 	metricSlots           = counter("slot_decisions_total", "Decisions about requests that ask for a slot of the local backend server.", "decision")
 	metricBackend         = counter("backend_connections_total", "Connections to the local backend server by what became of them.", "event")
 	metricCrashes         = counter("backend_crashes_total", "Crashes of the local backend server: its connections ended and new ones were refused.")
+	metricReports         = counter("crash_reports_total", "Reports about requests that ran at a crash: made here, received, or not sent to peers.", "result")
 	metricUnmatched       = counter("foreign_answers_total", "Answers of the local backend server that belong to no waiting request.")
 	metricUnreadable      = counter("requests_unreadable_total", "Requests of callers that are no HTTP or exceed a limit.")
 	metricReads           = counter("store_reads_total", "Reads of the store by their result.", "result")
@@ -43,6 +44,7 @@
 	metricVersion   = gauge("configuration_version", "Version of the configuration in force; 0 for none.")
 	metricEra       = gauge("store_era", "Era of the store that is in force; it rises when the store is restored from a copy.")
 	metricRevision  = gauge("store_revision", "Revision of the store that is in force.")
+	metricSuspects  = gauge("crash_suspects", "Fingerprints of requests for which there is a crash report, a refusal or a clearance.")
 	metricGated     = gauge("gated_services", "Services for which new requests are refused at the entry.")
 )
 
@@ -112,6 +114,7 @@
 	d.metrics.Gauge(metricUpstreams, locked(func() int { return d.dir.Len() }))
 	d.metrics.Gauge(metricEra, locked(func() int { return int(d.replica.At().Era) }))
 	d.metrics.Gauge(metricRevision, locked(func() int { return int(d.replica.At().Revision) }))
+	d.metrics.Gauge(metricSuspects, locked(d.crashes.Len))
 	d.metrics.Gauge(metricGated, locked(func() int { return len(d.gate.Levels()) }))
 	d.metrics.Gauge(metricVersion, func() float64 {
 		if t := d.table(); t != nil {
--- a/mesh/panics_test.go
+++ b/mesh/panics_test.go
@@ -65,7 +65,7 @@
 			req, err := http.NewRequest(http.MethodPut, "http://h/", io.MultiReader(panickingReader{}))
 			So(err, ShouldBeNil)
 			req.ContentLength = -1
-			_, sent, err := d.backend.roundTrip(t.Context(), t.Context(), req)
+			_, sent, err := d.backend.roundTrip(t.Context(), t.Context(), req, func() {})
 			So(err, ShouldNotBeNil)
 			So(sent, ShouldBeTrue)
 		})
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -209,6 +209,19 @@
 	return a
 }
 
+// Reports merges crash reports and, for an exchange, returns some of the daemon's.
+func (c *PeerConn) Reports(args *ReportsArgs, reply *ReportsReply) error {
+	d := c.daemon
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mergeReports(now, args.Reports)
+	if args.Exchange {
+		reply.Reports = d.crashes.Reports(now, maxExchangedReports)
+	}
+	return nil
+}
+
 // Ping returns the state of the daemon.
 func (c *PeerConn) Ping(args *PingArgs, reply *PingReply) error {
 	if args.From != "" {
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -240,11 +240,10 @@
 // newer changes reply so.
 func (d *Daemon) notifyPeers() {
 	d.mu.Lock()
-	addresses := d.peerAddresses()
-	d.opts.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses := d.randomPeers(notifiedPeers)
 	args := &PingArgs{State: d.state(), From: d.settings.BackendAddress}
 	d.mu.Unlock()
-	for _, address := range addresses[:min(notifiedPeers, len(addresses))] {
+	for _, address := range addresses {
 		d.workers.Go(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 			defer cancel()
@@ -258,6 +257,15 @@
 	}
 }
 
+// randomPeers returns the addresses of up to n other daemons, chosen at random. d.mu is held.
+func (d *Daemon) randomPeers(n int) []string {
+	var addresses []string
+	for _, u := range d.dir.Sample(d.opts.Rand, n, d.settings.BackendAddress) {
+		addresses = append(addresses, d.peerAddress(u.Address))
+	}
+	return addresses
+}
+
 // peerAddresses returns the addresses of all other known daemons. d.mu is held.
 func (d *Daemon) peerAddresses() []string {
 	var addresses []string
