quarantine: count servers that are lost at once as one crash of a request

A popular harmless request that ran on three servers when they were lost at the same moment, by a power cut or by an operator, had three reports, shared with no two other suspects, and was refused for ten minutes: TestServersLostAtOnce failed before, with Refuse instead of Isolate.

Cause: the threshold counted reports, not crashes that followed one another. A run that starts after an earlier crash is known starts as a suspect; a report now says so, and all other reports of a request count as one crash. An answered run still clears it.

TestHarmlessRequestsBesideCrashes and TestEndOfLeavingUpstreamIsNoCrash guard the same in a fleet; they passed at once.

--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -9,7 +9,8 @@
 // runs at most one isolated request at a time. Check is called when a request
 // arrives and again when a queued request is about to start.
 //
-// Check returns Refuse after Threshold reports from distinct incarnations, unless
+// Check returns Refuse after Threshold reports from distinct incarnations, of which
+// those of runs that started before an earlier crash was known count as one, unless
 // the requests that ran at the same time explain the crashes of the fingerprint.
 // They don't if all other suspects of one crash have been answered since, or if no
 // two other suspects together account for all crashes. Two, because two faults can
@@ -32,7 +33,8 @@
 // Limits: a harmless request that ran at the same time as three or more different
 // causes can be refused until its entry expires. Crashes that no request caused
 // count as well. A daemon that gets no reports from others needs Threshold crashes
-// of its own. A request that crashes backend servers only sometimes is cleared by
+// of its own. Copies of a request that run at the same time on several backend servers
+// are refused after more crashes than Threshold. A request that crashes backend servers only sometimes is cleared by
 // each answered run. Requests with equal fingerprints are judged together.
 //
 // The package reads no clock, does no I/O and is not safe for concurrent use.
--- a/core/quarantine/entry.go
+++ b/core/quarantine/entry.go
@@ -39,6 +39,20 @@
 	return slices.ContainsFunc(e.reports, func(r Report) bool { return r.Incarnation == incarnation })
 }
 
+// successiveCrashes counts the reports of runs that started after an earlier crash was known, and
+// all others as one: servers that are lost at once have popular requests in common.
+func (e *entry) successiveCrashes() int {
+	n, first := 0, 0
+	for _, r := range e.reports {
+		if r.Repeated {
+			n++
+		} else {
+			first = 1
+		}
+	}
+	return n + first
+}
+
 // allReports returns the clearance and the refusal, if any, and the reports.
 func (e *entry) allReports() []Report {
 	reports := make([]Report, 0, len(e.reports)+2)
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -59,18 +59,27 @@
 	At time.Time
 	// Suspects is the number of distinct fingerprints that ran at the crash.
 	Suspects int
+	// Repeated says that the request was a suspect of an earlier crash when its run started.
+	Repeated bool
 	// Cleared is set in a clearance.
 	Cleared bool
 	// Refused is set in a refusal.
 	Refused bool
 }
 
+// call is a call that runs on the local backend server. suspect says that there was a report of
+// its fingerprint when it started.
+type call struct {
+	fingerprint uint64
+	suspect     bool
+}
+
 // Tracker keeps the calls that run on the local backend server and the reports that
 // one daemon knows. It is not safe for concurrent use.
 type Tracker struct {
 	cfg             Config
 	now             time.Time
-	running         map[uuid.UUID]uint64
+	running         map[uuid.UUID]call
 	entries         map[uint64]*entry
 	levels          []*list.List // entries by amount of evidence, least recently changed first
 	expiry          *indexheap.Heap[*entry]
@@ -93,7 +102,7 @@
 	t := &Tracker{
 		expiry:  newExpiry(),
 		cfg:     cfg,
-		running: make(map[uuid.UUID]uint64),
+		running: make(map[uuid.UUID]call),
 		entries: make(map[uint64]*entry),
 		crashes: newCrashes(max(cfg.MaxEntries/4, cfg.Threshold)),
 		outbox:  list.New(),
@@ -130,7 +139,7 @@
 // evidence has changed since the last decision. A refusal stays in force when the
 // crashes behind it are evicted or expire.
 func (t *Tracker) decideRefusal(e *entry) bool {
-	if e.refused.IsZero() && len(e.reports) >= t.cfg.Threshold && e.decidedVersion != t.evidenceVersion {
+	if e.refused.IsZero() && e.successiveCrashes() >= t.cfg.Threshold && e.decidedVersion != t.evidenceVersion {
 		e.decidedVersion = t.evidenceVersion
 		if t.isCause(e) {
 			e.refused = e.newestTime()
@@ -141,16 +150,19 @@
 }
 
 // CallStarted records that a call is about to run on the local backend server.
-func (t *Tracker) CallStarted(fp uint64, call uuid.UUID) { t.running[call] = fp }
+func (t *Tracker) CallStarted(fp uint64, id uuid.UUID) {
+	e := t.entries[fp]
+	t.running[id] = call{fingerprint: fp, suspect: e != nil && e.level > 0}
+}
 
 // CallEnded records that a call has ended. A call that was answered clears its
 // fingerprint. If that voids reports or a refusal, CallEnded returns the clearance,
 // which is to be sent to other daemons. The time of the clearance is the latest that
 // the tracker knows.
-func (t *Tracker) CallEnded(call uuid.UUID, answered bool) []Report {
-	fp, ok := t.running[call]
-	delete(t.running, call)
-	e := t.entries[fp]
+func (t *Tracker) CallEnded(id uuid.UUID, answered bool) []Report {
+	c, ok := t.running[id]
+	delete(t.running, id)
+	e := t.entries[c.fingerprint]
 	if !ok || !answered || e == nil || e.level == 0 {
 		return nil
 	}
@@ -168,14 +180,14 @@
 // refusals that they lead to, which are to be sent to other daemons.
 func (t *Tracker) BackendCrashed(now time.Time, incarnation uuid.UUID) []Report {
 	t.advance(now)
-	suspects := make(map[uint64]struct{}, len(t.running))
-	for _, fp := range t.running {
-		suspects[fp] = struct{}{}
+	suspects := make(map[uint64]bool, len(t.running)) // whether they were suspects before
+	for _, c := range t.running {
+		suspects[c.fingerprint] = suspects[c.fingerprint] || c.suspect
 	}
 	clear(t.running)
 	reports := make([]Report, 0, len(suspects))
-	for fp := range suspects {
-		reports = append(reports, Report{Fingerprint: fp, Incarnation: incarnation, At: now, Suspects: len(suspects)})
+	for fp, repeated := range suspects {
+		reports = append(reports, Report{Fingerprint: fp, Incarnation: incarnation, At: now, Suspects: len(suspects), Repeated: repeated})
 	}
 	sortReports(reports)
 	for _, r := range t.Merge(now, reports) {
