--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -113,7 +113,8 @@
 	limiter          *slots.Limiter
 	waiting          map[uint64]*localAttempt // queued attempts by their ID in the limiter
 	lastID           uint64
-	retryRuns        int // number of local runs that are retries
+	retryRuns        int        // number of local runs that are retries
+	statements       statements // of the local backend server
 	liveness         quarantine.Liveness
 	crashes          *quarantine.Tracker
 	unsentReports    []quarantine.Report // crash reports to be sent to peers
--- a/mesh/interfaces.go
+++ b/mesh/interfaces.go
@@ -45,6 +45,12 @@
 	WrongUpstream bool
 	// Failed says that the backend server ran the request and failed.
 	Failed bool
+	// Rate is the number of requests a second that the backend server takes from all VMs
+	// together, valid if StatesRate is set.
+	Rate       float64
+	StatesRate bool
+	// Leaving says that the backend server is shutting down and takes no new requests.
+	Leaving bool
 }
 
 // HeaderConvention defines which HTTP headers carry the metadata of requests and answers.
