slots: follow the rate that the backend server states as its limit

An upstream in need got far more requests than it had stated that it takes.

Cause: the statement was not read; the limiter knew only published slots. The class: an input of the admission that comes from the backend server itself and was fixed when it registered. Ruled out: that daemons together allow too much (all requests reach an upstream through the daemon beside it, which now limits alone), and retries and health checks as the excess (there are no health checks, and each arrival counts as a start).

Change: a token bucket in core/slots, set by each answer that states a rate and ended by the first answer to a later request that states none, or by another backend server at the address. Queued requests get the starts in the order of their ranks. Reported load, expected waits and the room that more important ranks leave count the concurrency that the rate allows, so that callers ask other upstreams first and hear when to come back, by the code that does so for slots.

--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -107,7 +107,7 @@
 // Load is the load of one backend server. Daemons compare it when they choose an upstream.
 type Load struct {
 	// Running and Waiting count the requests that run and that are queued; Limit is the
-	// largest number that runs at once.
+	// largest number that runs at once, or that runs on average under a rate limit.
 	Running, Waiting, Limit int
 	// Run is the average run time, 0 if unknown.
 	Run time.Duration
@@ -124,6 +124,7 @@
 	queue   []waitingRequest     // by rank, then by arrival
 	// isolatedRuns and isolatedWaiting count the isolated requests that run and that are queued.
 	isolatedRuns, isolatedWaiting int
+	rate                          rateLimit
 	run                           average // over all kinds
 	byKind                        map[string]*average
 	failing                       float64
@@ -233,6 +234,7 @@
 
 func (l *Limiter) start(r Request) {
 	l.running[r.ID] = activeRun{kind: r.Kind, isolated: r.Isolated}
+	l.rate.take()
 	if r.Isolated {
 		l.isolatedRuns++
 	}
@@ -348,19 +350,16 @@
 			demanded += d.now(now)
 		}
 	}
-	return max(1-float64(demanded)/(float64(l.limit)*float64(demandTimeConstant)), minRankShare)
+	return max(1-float64(demanded)/(l.concurrency()*float64(demandTimeConstant)), minRankShare)
 }
 
 // expectedWait returns the expected time until a request starts, given its position in the queue.
 // It allows for more important requests that arrive meanwhile and start before it.
 func (l *Limiter) expectedWait(now time.Time, position int, r Request) time.Duration {
-	run := l.run.value
-	if !l.run.known {
-		run = initialRun
-	}
+	run := l.averageRun()
 	wait := time.Duration(0)
-	if ahead := l.unblockedAhead(position); len(l.running) >= l.limit || ahead > 0 {
-		wait = time.Duration(float64(run) * float64(ahead+1) / (float64(l.limit) * l.slotShare(now, r.Rank)))
+	if ahead := l.unblockedAhead(position); len(l.running) >= l.limit || ahead > 0 || !l.rate.allows(now) {
+		wait = time.Duration(float64(run) * float64(ahead+1) / (l.concurrency() * l.slotShare(now, r.Rank)))
 	}
 	if l.blocked(r) {
 		wait = max(wait, run*time.Duration(l.isolatedAhead(position)+1))
@@ -368,6 +367,14 @@
 	return wait
 }
 
+// averageRun returns the average run time over all kinds.
+func (l *Limiter) averageRun() time.Duration {
+	if !l.run.known || l.run.value <= 0 {
+		return initialRun
+	}
+	return l.run.value
+}
+
 // AverageRun returns the average run time of a kind, 0 if unknown.
 func (l *Limiter) AverageRun(kind string) time.Duration {
 	if a := l.byKind[kind]; a != nil {
@@ -440,7 +447,7 @@
 }
 
 func (l *Limiter) startWaiting(now time.Time, events []Event) []Event {
-	for position := 0; position < len(l.queue) && len(l.running) < l.limit; {
+	for position := 0; position < len(l.queue) && len(l.running) < l.limit && l.rate.allows(now); {
 		if l.blocked(l.queue[position].Request) {
 			position++
 			continue
@@ -458,12 +465,15 @@
 
 // Load returns the load that is reported to other daemons.
 func (l *Limiter) Load() Load {
-	return Load{Running: len(l.running), Waiting: len(l.queue), Limit: l.limit, Run: l.run.value, Failing: l.failing}
+	limit := max(int(math.Round(l.concurrency())), 1)
+	return Load{Running: len(l.running), Waiting: len(l.queue), Limit: limit, Run: l.run.value, Failing: l.failing}
 }
 
 // Release frees the slot of a request that was started but whose slot was not used, without
 // recording an outcome. It returns the decisions about queued requests.
 func (l *Limiter) Release(now time.Time, id uint64) []Event {
-	l.end(id)
+	if _, ok := l.end(id); ok {
+		l.rate.put()
+	}
 	return l.startWaiting(now, nil)
 }
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -399,7 +399,7 @@
 		return d.replyWithoutAnswer(ctx, a, true, started, errors.Wrap(err, "read body"))
 	}
 	elapsed := time.Since(started)
-	d.recordStatements(a, head)
+	d.recordStatements(a, head, started)
 	d.recordRunEnd(a, last && !head.NotExecuted && !head.Failed)
 	d.releaseSlot(a, slots.Outcome{Elapsed: elapsed, Rejected: head.NotExecuted, Failed: head.Failed})
 	d.metrics.Observe(metricBackendTime, elapsed, a.kind, exchangeOutcome(head))
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"net/http"
 	"sort"
 	"strconv"
@@ -40,6 +41,7 @@
 	metricRunning   = gauge("running", "Requests that the local backend server runs.")
 	metricWaiting   = gauge("waiting", "Requests that wait for a slot.")
 	metricLimit     = gauge("slots", "Slots of the local backend server that are used.")
+	metricRate      = gauge("backend_rate_limit", "Requests a second that the local backend server has stated as its limit, rounded up; 0 for none.")
 	metricUpstreams = gauge("upstreams", "Upstreams that are known.")
 	metricVersion   = gauge("configuration_version", "Version of the configuration in force; 0 for none.")
 	metricEra       = gauge("store_era", "Era of the store that is in force; it rises when the store is restored from a copy.")
@@ -110,6 +112,7 @@
 	}
 	d.metrics.Gauge(metricRunning, locked(func() int { return d.limiter.Load().Running }))
 	d.metrics.Gauge(metricWaiting, locked(func() int { return d.limiter.Load().Waiting }))
+	d.metrics.Gauge(metricRate, locked(func() int { return int(math.Ceil(d.limiter.Rate())) }))
 	d.metrics.Gauge(metricLimit, locked(func() int { return d.limiter.Load().Limit }))
 	d.metrics.Gauge(metricUpstreams, locked(func() int { return d.dir.Len() }))
 	d.metrics.Gauge(metricEra, locked(func() int { return int(d.replica.At().Era) }))
--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -1,34 +1,51 @@
 package mesh
 
-import "go.uber.org/zap"
+import (
+	"time"
 
-// statements are what the local backend server says of itself in its answers.
-type statements struct {
-	rate       float64
-	statesRate bool
-	leaving    string // ID of the upstream that said so
-}
+	"go.uber.org/zap"
+
+	"github.com/hawthornpoint/hawthornpoint/core/directory"
+)
 
-// recordStatements records what an answer states about the backend server.
-func (d *Daemon) recordStatements(a *localAttempt, head AnswerHead) {
+// recordStatements records what an answer states about the backend server. sent is when its
+// request was sent.
+func (d *Daemon) recordStatements(a *localAttempt, head AnswerHead, sent time.Time) {
 	if head.WrongUpstream {
 		return
 	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := &d.statements
-	id := []zap.Field{zap.String("id", a.requestID), zap.String("upstream", a.instance)}
-	switch {
-	case head.StatesRate && (!s.statesRate || s.rate != head.Rate):
-		d.log.Info(eventRateStated, append(id, zap.Float64("rate", head.Rate), zap.Float64("previous", s.rate))...)
-	case !head.StatesRate && s.statesRate && !head.NotExecuted:
-		d.log.Info(eventRateEnded, append(id, zap.Float64("previous", s.rate))...)
+	d.recordRate(now, a, head, sent)
+	if head.Leaving && d.leavingID != a.instance {
+		d.leavingID = a.instance
+		d.log.Info(eventBackendLeaving, zap.String("id", a.requestID), zap.String("upstream", a.instance))
 	}
-	if head.StatesRate || !head.NotExecuted {
-		s.rate, s.statesRate = head.Rate, head.StatesRate
+}
+
+// recordRate limits the rate of requests as the answer states, or ends the limit. An answer to a
+// request that was not run ends none, because some of these are written without knowledge of the
+// backend server's state. d.mu is held.
+func (d *Daemon) recordRate(now time.Time, a *localAttempt, head AnswerHead, sent time.Time) {
+	previous := d.limiter.Rate()
+	switch {
+	case head.StatesRate:
+		d.limiter.SetRate(now, head.Rate)
+		if rate := d.limiter.Rate(); rate != previous {
+			d.log.Info(eventRateStated, zap.String("id", a.requestID), zap.String("upstream", a.instance),
+				zap.Float64("stated", head.Rate), zap.Float64("rate", rate), zap.Float64("previous", previous))
+		}
+	case !head.NotExecuted && d.limiter.EndRate(sent):
+		d.log.Info(eventRateEnded, zap.String("id", a.requestID), zap.String("upstream", a.instance), zap.Float64("previous", previous))
 	}
-	if head.Leaving && s.leaving != a.instance {
-		s.leaving = a.instance
-		d.log.Info(eventBackendLeaving, id...)
+}
+
+// resetStatements discards what the previous backend server at the address stated. d.mu is held.
+func (d *Daemon) resetStatements(listed directory.Upstream) {
+	if listed.ID == d.local.ID && listed.Incarnation == d.local.Incarnation {
+		return
 	}
+	d.local = listed
+	d.limiter.ClearRate()
 }
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -311,6 +311,7 @@
 	d.setOriginVMs()
 	if u.Address == d.settings.BackendAddress {
 		d.limiter.SetSlots(u.Slots)
+		d.resetStatements(u)
 		if u.Draining {
 			d.deliverDecisions(d.limiter.Evict())
 		}
