mesh: stop sending to an upstream that states that it leaves

An upstream that leaves says so in its answers, which may be before its entry in the store says it, or while the store is away. Its requests then came too late.

Cause: leaving was known from the store alone. The statement is kept with the incarnation in core/directory, as draining: later entries of the incarnation that say 'ready' don't end it, another incarnation does. The daemon beside the upstream refuses new requests from then on and those that wait, each reply says so, and the daemons that get one remember it, so that a restart of that daemon loses nothing. A daemon that has neither asks once and learns it with the reply. Nothing is sent for it.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -51,6 +51,9 @@
 // entry is an upstream, with its state while the store does not list it.
 type entry struct {
 	Upstream
+	// leaving says that the upstream has stated that it is shutting down, which its entry in the
+	// store may not say yet.
+	leaving bool
 	// lapsed says that the store has stopped listing the upstream, at lapsedAt.
 	lapsed   bool
 	lapsedAt time.Time
@@ -98,7 +101,11 @@
 			delete(d.entries, id)
 		}
 	}
-	d.entries[u.ID] = &entry{Upstream: u}
+	e := &entry{Upstream: u}
+	if known := d.entries[u.ID]; known != nil && known.leaving && known.Incarnation == u.Incarnation {
+		e.leaving, e.Draining = true, true
+	}
+	d.entries[u.ID] = e
 	d.index = nil
 	return true
 }
@@ -118,6 +125,18 @@
 	return false
 }
 
+// MarkLeaving records that an incarnation of an upstream has stated that it is shutting down. It
+// takes no new work from then on, whatever the store lists. It reports whether that was new.
+func (d *Directory) MarkLeaving(id string, incarnation int64) bool {
+	e := d.entries[id]
+	if e == nil || e.Incarnation != incarnation || e.leaving {
+		return false
+	}
+	e.leaving, e.Draining = true, true
+	d.index = nil
+	return true
+}
+
 // Remove records that the store does not list an upstream any more. The upstream is removed
 // at once if it is draining, or if now is outside the grace; otherwise its entry lapses.
 func (d *Directory) Remove(now time.Time, id string) {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -143,3 +143,24 @@
 		So(d.Serving("s"), ShouldBeEmpty)
 	})
 }
+
+// Guards against sending to an upstream that has stated that it leaves because the store lists it
+// as ready, and against avoiding another incarnation for it.
+func TestStatedLeaving(t *testing.T) {
+	Convey("An incarnation that states that it leaves serves nothing, whatever the store lists; a later one serves", t, func() {
+		d := New()
+		u := Upstream{ID: "a", Incarnation: 5, Sequence: 1, Service: "s", Address: "1:1"}
+		d.Put(u)
+		So(d.MarkLeaving("a", 4), ShouldBeFalse)
+		So(d.Serving("s"), ShouldHaveLength, 1)
+		So(d.MarkLeaving("a", 5), ShouldBeTrue)
+		So(d.MarkLeaving("a", 5), ShouldBeFalse)
+		So(d.Serving("s"), ShouldBeEmpty)
+		u.Sequence = 2
+		So(d.Put(u), ShouldBeTrue)
+		So(d.Serving("s"), ShouldBeEmpty)
+		u.Incarnation, u.Sequence = 6, 1
+		So(d.Put(u), ShouldBeTrue)
+		So(d.Serving("s"), ShouldHaveLength, 1)
+	})
+}
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -241,6 +241,7 @@
 		result = c.classify(&reply)
 	}
 	c.daemon.receiveReports(reply.Reports)
+	c.daemon.noteLeaving(c, &reply)
 	c.daemon.notePeerState(reply.State, c.daemon.peerAddress(step.Upstream.Address))
 	if reply.Outcome != 0 {
 		c.daemon.recordBlocked(c.route, c.outgoing.Service, &reply)
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -115,7 +115,6 @@
 	lastID           uint64
 	retryRuns        int                // number of local runs that are retries
 	local            directory.Upstream // latest entry of the local backend server that was put in force
-	leavingID        string             // ID of the local backend server if it has stated that it is leaving
 	liveness         quarantine.Liveness
 	crashes          *quarantine.Tracker
 	unsentReports    []quarantine.Report // crash reports to be sent to peers
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -215,10 +215,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	local, _ := d.dir.At(d.settings.BackendAddress)
 	return Reply{
 		Outcome: outcome, Reason: string(decision.Reason), Wait: decision.Wait,
 		Load: d.limiter.Load(), Call: d.callGraph.IsCall(a.kind), Blocked: d.callMeter.Shares(now), State: d.state(),
-		Reports: d.crashes.ReportsOf(a.fingerprint),
+		Leaving: local.Draining && local.ID == a.instance, Reports: d.crashes.ReportsOf(a.fingerprint),
 	}
 }
 
@@ -413,17 +414,20 @@
 	default:
 		a.rest = ex
 	}
-	switch {
-	case head.WrongUpstream:
+	if head.WrongUpstream {
 		return d.reply(a, OutcomeWrongUpstream, slots.Decision{Reason: "other_instance"})
-	case head.NotExecuted:
-		return d.reply(a, OutcomeRejected, slots.Decision{Reason: "backend_refused"})
 	}
-	r := d.reply(a, OutcomeAnswered, slots.Decision{})
-	r.Answer = &Answer{
-		Status: ex.response.StatusCode, Header: d.headers.pack(hopheader.EndToEnd(ex.response.Header)), Failed: head.Failed,
-		Body: data, More: !last, Elapsed: elapsed,
+	var r Reply
+	if head.NotExecuted {
+		r = d.reply(a, OutcomeRejected, slots.Decision{Reason: "backend_refused"})
+	} else {
+		r = d.reply(a, OutcomeAnswered, slots.Decision{})
+		r.Answer = &Answer{
+			Status: ex.response.StatusCode, Header: d.headers.pack(hopheader.EndToEnd(ex.response.Header)), Failed: head.Failed,
+			Body: data, More: !last, Elapsed: elapsed,
+		}
 	}
+	r.Leaving = r.Leaving || head.Leaving // this daemon may not have received the upstream's entry
 	return r
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -111,6 +111,8 @@
 	Wait time.Duration
 	// Load is the load of the backend server.
 	Load slots.Load
+	// Leaving says that the upstream takes no new requests.
+	Leaving bool
 	// Answer is set for OutcomeAnswered.
 	Answer *Answer
 	// Call says that requests of the kind are calls that upstreams make while they run other
--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -18,12 +18,34 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordRate(now, a, head, sent)
-	if head.Leaving && d.leavingID != a.instance {
-		d.leavingID = a.instance
-		d.log.Info(eventBackendLeaving, zap.String("id", a.requestID), zap.String("upstream", a.instance))
+	if local, _ := d.dir.At(d.settings.BackendAddress); head.Leaving && local.ID == a.instance {
+		d.markLeaving(local, a.requestID, "answer")
 	}
 }
 
+// markLeaving records that an upstream takes no new requests, and refuses those that wait for it
+// here. id is that of the request that showed it, and source where. d.mu is held.
+func (d *Daemon) markLeaving(u directory.Upstream, id, source string) {
+	if !d.dir.MarkLeaving(u.ID, u.Incarnation) {
+		return
+	}
+	d.log.Info(eventUpstreamLeaving, zap.String("id", id), zap.String("upstream", u.ID), zap.Int64("incarnation", u.Incarnation),
+		zap.Bool("draining", u.Draining), zap.String("source", source))
+	if u.Address == d.settings.BackendAddress {
+		d.deliverDecisions(d.limiter.Evict())
+	}
+}
+
+// noteLeaving records that an upstream is leaving, as the daemon beside it has replied.
+func (d *Daemon) noteLeaving(c *callerRequest, reply *Reply) {
+	if !reply.Leaving {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.markLeaving(c.step.Upstream, c.head.ID, "reply")
+}
+
 // recordRate limits the rate of requests as the answer states, or ends the limit. An answer to a
 // request that was not run ends none, because some of these are written without knowledge of the
 // backend server's state. d.mu is held.
