backend: don't reuse a connection after a refusal of the backend server

A faulty upstream that writes an earlier refusal once more on a kept connection made callers hear 'not run' for a request that it ran, or made that request run at a second upstream.

Cause: a refusal may come without an ID, or carry that of a request that is sent again, so that it counts as the answer to whatever waits on the connection. That no bytes wait on an idle connection is checked before the next request is sent; a refusal that comes later is not seen. Refusals are rare, because the daemon knows the slots, so that the connection is closed after one.

TestRefusalWrittenTwice failed before: 503 for a request that ran, with a refusal without an ID and with status 421. Ruled out by a test that passes on the code before: an answer whose head ends early. TestAnswerHeadCutShort cuts five heads at every byte, between daemons and beside the upstream, and gets 502 each time.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -63,6 +63,7 @@
 	response  *http.Response
 	request   *http.Request
 	skipped   int        // number of skipped answers to other requests
+	refusal   bool       // the answer says that the request was not run
 	writeDone chan error // receives the result of writing a long body, nil for a short one
 	// cancelClose cancels the closing of the connection at the end of graceCtx. It returns
 	// false if that has begun.
@@ -163,7 +164,9 @@
 }
 
 func (ex *exchange) reusable() bool {
-	if ex.skipped > 0 || ex.response.Close || ex.conn.reader.Buffered() > 0 {
+	// A refusal may not name its request. If a faulty backend server writes it once more,
+	// it must not meet the next request on the connection.
+	if ex.refusal || ex.skipped > 0 || ex.response.Close || ex.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if ex.writeDone == nil {
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -394,6 +394,7 @@
 		ex.abort()
 		return d.replyWithoutAnswer(ctx, a, true, started, errors.New("the answer belongs to another request"))
 	}
+	ex.refusal = head.NotExecuted
 	data, last, err := readPart(ex.response.Body, maxPartBytes, ex.response.ContentLength)
 	if err != nil {
 		ex.abort()
