dispatch: refuse what can't end before the daemon stops

A request that came during a planned stop, in the time in which requests are still accepted, and whose run took longer than the rest of the grace time was passed on and cut at its end with no answer, also one that may run once.

Cause: the time for which requests are accepted and the time of the cut are shares of the grace time; how long a run takes was not compared with what lies between. With 6 s of grace any run over 3 s was cut, with less grace shorter ones. A body that arrives late shortens the time further.

Change: requests that a stopping daemon accepts have their deadline at 0.88 of the grace time, before the cut at 0.9. Those whose kind takes longer on average are refused as not run, at each attempt; the others end with 504 at the latest. Requests from before the stop are as before.

Also tests of quarantined requests in the dispatcher. Ruled out: requests that wait for a slot (503 at 5/6 of the grace time, TestStopRefusesRequestsThatHaveNotRun).

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -71,6 +71,7 @@
 	budgets        map[string]*retry.WindowBudget // by name of the service
 	averageLatency map[string]time.Duration       // by name of the route, over all upstreams
 	closed         bool
+	stopBy         time.Time // when requests that are opened from now on must have ended; zero if never
 }
 
 // New returns a dispatcher over the upstreams in a directory, which the caller keeps up to
@@ -88,6 +89,10 @@
 // run; attempts under way are not affected.
 func (d *Dispatcher) Close() { d.closed = true }
 
+// StopBy sets when requests that are opened from now on must have ended, because the daemon stops.
+// Those that are expected to take longer are refused, and no attempt is started for them.
+func (d *Dispatcher) StopBy(at time.Time) { d.stopBy = at }
+
 // Open returns a new request with the given time left. retryShare is the probability that
 // the request is made by a run that is itself a retry; that fraction is charged to the budget.
 func (d *Dispatcher) Open(now time.Time, route *routing.Route, service string, left time.Duration, retryShare float64) *OutgoingRequest {
@@ -95,6 +100,9 @@
 		Route: route, Service: service, Arrived: now,
 		Objective: now.Add(route.LatencyObjective), Deadline: now.Add(min(left, route.Timeout)),
 	}
+	if !d.stopBy.IsZero() && d.stopBy.Before(req.Deadline) {
+		req.Deadline, req.stopping = d.stopBy, true
+	}
 	budget := d.budget(service)
 	budget.RecordRequest(now)
 	budget.Charge(now, retryShare)
@@ -149,6 +157,9 @@
 	if d.closed {
 		return d.refuse(req, resultcode.Leaving, noUpstreamRetryAfter, "stopping")
 	}
+	if req.stopping && req.Deadline.Sub(now) < d.averageLatency[req.Route.Name] {
+		return d.refuse(req, resultcode.Leaving, noUpstreamRetryAfter, "stopping")
+	}
 	if req.Deadline.Sub(now) < minSendTime {
 		return d.refuse(req, resultcode.DeadlineTooShort, 0, "time_left")
 	}
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -312,3 +312,52 @@
 		})
 	})
 }
+
+// Guards against starting what a stopping daemon can't finish.
+func TestRequestsBeforeAStop(t *testing.T) {
+	Convey("Given a dispatcher that stops in 800 ms, and runs of 1 s", t, func() {
+		d, _ := fleet(3)
+		before := open(d, false)
+		d.Next(start, before)
+		d.Report(start, before, Report{Result: Answered, Elapsed: time.Second})
+		earlier := open(d, false)
+		d.StopBy(start.Add(800 * time.Millisecond))
+		Convey("a request that is opened now is refused as not run", func() {
+			So(d.Next(start, open(d, false)).Code, ShouldEqual, resultcode.Leaving)
+		})
+		Convey("a shorter one is sent and ends before the stop", func() {
+			d.averageLatency["r"] = 100 * time.Millisecond
+			req := open(d, false)
+			So(d.Next(start, req).Code, ShouldEqual, resultcode.Code(0))
+			So(req.Deadline, ShouldEqual, start.Add(800*time.Millisecond))
+		})
+		Convey("a request that was opened before is sent", func() {
+			So(d.Next(start, earlier).Code, ShouldEqual, resultcode.Code(0))
+		})
+	})
+}
+
+// Guards against sending a request that crashes upstreams once more, and against a refusal that
+// says that it has not run although it may have.
+func TestQuarantinedRequests(t *testing.T) {
+	Convey("Given a request", t, func() {
+		d, _ := fleet(3)
+		req := open(d, true)
+		d.Next(start, req)
+		Convey("a refusal for quarantine ends it, with the time until the quarantine ends", func() {
+			step := d.Report(start, req, Report{Result: Quarantined, Wait: time.Minute, Retryable: true})
+			So(step.Code, ShouldEqual, resultcode.Quarantined)
+			So(step.RetryAfter, ShouldEqual, time.Minute)
+		})
+		Convey("a lost attempt is not repeated once the request is quarantined", func() {
+			step := d.Report(start, req, Report{Result: Lost, Quarantined: true, Retryable: true})
+			So(step.Code, ShouldEqual, resultcode.AttemptLost)
+		})
+		Convey("a refusal after a lost attempt says that it may have run", func() {
+			d.Report(start, req, Report{Result: Lost, Retryable: true})
+			step := d.Report(start, req, Report{Result: Quarantined, Wait: time.Minute, Retryable: true})
+			So(step.Code, ShouldEqual, resultcode.AttemptLost)
+			So(step.RetryAfter, ShouldEqual, 0)
+		})
+	})
+}
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -16,8 +16,9 @@
 	Service string
 	// Arrived is when the request was opened, Objective when its answer should be available.
 	// Deadline is when it ends: after the time left at Open, or after the route's timeout if
-	// that is shorter.
+	// that is shorter, or when the daemon stops.
 	Arrived, Objective, Deadline time.Time
+	stopping                     bool // Deadline is when the daemon stops
 
 	tried      map[string]bool // upstreams that were asked and did not grant a slot
 	mayHaveRun map[string]bool // upstreams that may have begun to run it
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -43,6 +43,9 @@
 	// shutdownShare is the share of the grace time after which a stopping daemon aborts the
 	// requests in flight; the rest is left for the process to exit.
 	shutdownShare = 0.9
+	// answerShare is the share of the grace time by which requests that a stopping daemon accepts
+	// must have ended, so that their last answers are written before shutdownShare.
+	answerShare = 0.88
 	// acceptShare is the share of the grace time for which a stopping daemon still accepts
 	// requests of callers. Callers use another daemon after two failed health checks, and
 	// requests accepted later might not end in time.
@@ -393,6 +396,7 @@
 	d.stopping = true
 	acceptUntil := started.Add(time.Duration(acceptShare * float64(grace)))
 	d.acceptUntil = acceptUntil
+	d.dispatcher.StopBy(started.Add(time.Duration(answerShare * float64(grace))))
 	d.limiter.Close()
 	d.mu.Unlock()
 	d.callers.Stop()
