--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -134,6 +134,8 @@
 		"time_over":       "its time was over",
 		"blocked_below":   "it was not let in at the entry",
 		"leaving":         "the daemon was stopping",
+		"stopping":        "the daemon was stopping, and such requests take longer than what was left",
+		"quarantined":     fmt.Sprintf("equal requests (fingerprint %s) crashed upstreams", l.Get("fingerprint")),
 		"not_configured":  "the daemon had no configuration yet",
 		"unknown_service": fmt.Sprintf("no route of configuration %s matches host %s and path %s", l.Get("config"), l.Get("host"), l.Get("path")),
 		"bad_request":     "it was no proper request, or had no ID",
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -27,10 +27,13 @@
 	// maxUnsentReports bounds the reports that wait to be sent. Those beyond it reach peers with
 	// exchanges.
 	maxUnsentReports = 4096
-	// reportExchangeInterval is the time between two exchanges of reports with a random peer
-	// while there are any, and firstExchangeInterval that until the first one has succeeded.
-	reportExchangeInterval = time.Second
-	firstExchangeInterval  = 100 * time.Millisecond
+	// reportExchangeInterval is the time between two exchanges of reports with a random peer in the
+	// reportExchangeTime after a report was new to this daemon. Six exchanges reach the daemons
+	// that the messages to reportedPeers have missed, in fleets of any size.
+	reportExchangeInterval = 500 * time.Millisecond
+	reportExchangeTime     = 10 * time.Second
+	// firstExchangeInterval is the time between two exchanges until the first has succeeded.
+	firstExchangeInterval = 100 * time.Millisecond
 	// maxExchangedReports bounds the reports that each side of an exchange sends.
 	maxExchangedReports = 64
 )
@@ -203,6 +206,7 @@
 		d.unsentReports = append(d.unsentReports, r)
 	}
 	if len(reports) > 0 {
+		d.newestReport = time.Now()
 		d.wakeReportLoop()
 	}
 }
@@ -256,13 +260,13 @@
 	}
 }
 
-// exchangeReports exchanges reports with a random peer if this daemon has any, or has not yet
-// received those of a peer.
+// exchangeReports exchanges reports with a random peer if some were new to this daemon recently, or
+// it has not yet received those of a peer.
 func (d *Daemon) exchangeReports() {
 	now := time.Now()
 	d.mu.Lock()
 	addresses := d.randomPeers(1)
-	if d.reportsFetched && d.crashes.Len() == 0 {
+	if d.reportsFetched && now.Sub(d.newestReport) > reportExchangeTime {
 		addresses = nil
 	}
 	args := &ReportsArgs{Reports: d.crashes.Reports(now, maxExchangedReports), Exchange: true}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -122,6 +122,7 @@
 	crashes          *quarantine.Tracker
 	unsentReports    []quarantine.Report // crash reports to be sent to peers
 	reportsFetched   bool                // a peer has answered an exchange of reports
+	newestReport     time.Time           // when a report was new to this daemon
 	callGraph        *callgraph.Observer
 	callMeter        *loadshed.Meter // blocked shares of the calls of the local backend server
 	entryMeter       *loadshed.Meter // blocked shares of new requests of callers
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -65,7 +65,7 @@
 	case c.lastReport.Result != 0:
 		fields = c.attemptFields()
 	case c.route != nil:
-		fields = []zap.Field{zap.String("id", c.head.ID), zap.String("route", c.route.Name)}
+		fields = []zap.Field{zap.String("id", c.head.ID), zap.String("route", c.route.Name), fingerprintField(c.fingerprint)}
 	default:
 		fields = []zap.Field{zap.String("id", c.head.ID), zap.String("host", c.r.Host), zap.String("path", c.r.URL.Path)}
 	}
