mesh: tell that a backend server lives from an idle connection

After an exchange without an answer a new connection was opened to tell a crash from the end of one connection, also where the pool had idle ones; connections are dear. An idle connection that is open now shows the same, and is checked once more after 50 ms; only without one a new connection is opened. The fingerprint of a long body includes its length: bodies of more than 128 KB that begin alike are not equal requests.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -230,7 +230,7 @@
 		return nil, errors.Wrap(errBackendDown, err.Error())
 	}
 	b.count("opened")
-	return &backendConn{Conn: raw, reader: bufio.NewReaderSize(raw, 4<<10)}, nil
+	return &backendConn{Conn: raw, reader: bufio.NewReaderSize(raw, 4<<10), expires: time.Now().Add(defaultIdleTimeout)}, nil
 }
 
 func (b *backend) takeIdle() *backendConn {
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -88,7 +88,11 @@
 	if code := c.readBody(); code != 0 {
 		return code
 	}
-	c.fingerprint = callmeta.Fingerprint(c.body, d.settings.Service, c.r.Method, c.r.Host, c.target())
+	length := ""
+	if c.more {
+		length = strconv.FormatInt(c.r.ContentLength, 10) // bodies that begin alike are not equal
+	}
+	c.fingerprint = callmeta.Fingerprint(c.body, d.settings.Service, c.r.Method, c.r.Host, c.target(), length)
 	return 0
 }
 
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -79,12 +79,13 @@
 		zap.Bool("leaving", leaving), zap.Int("running", d.limiter.Load().Running), zap.Int("reports", len(reports)))
 }
 
-// checkCrash opens a connection to the backend server after it ended one, and calls done when it
-// is known whether it has crashed. The first refused connection calls recordCrash.
+// checkCrash checks, after the backend server has ended a connection, whether it has crashed, and
+// calls done when that is known. An idle connection that stays open shows that it lives; otherwise
+// a new one is opened, which calls backendConnected.
 func (d *Daemon) checkCrash(done func()) {
 	ctx, cancel := context.WithTimeout(d.ctx, crashProbeTimeout)
 	defer cancel()
-	conn, err := d.backend.connect(ctx)
+	conn, err := d.backend.openConnection(ctx)
 	if err != nil {
 		done()
 		return
@@ -92,19 +93,20 @@
 	d.workers.Go(func() {
 		defer done()
 		d.pause(crashRecheckDelay)
-		if openAndEmpty(conn.Conn) {
-			conn.expires = time.Now().Add(defaultIdleTimeout)
-			d.backend.putIdle(conn)
-			return
-		}
-		_ = conn.Close()
-		if conn, err = d.backend.connect(d.ctx); err == nil {
-			conn.expires = time.Now().Add(defaultIdleTimeout)
-			d.backend.putIdle(conn)
+		d.backend.putIdle(conn)
+		if !openAndEmpty(conn.Conn) {
+			d.probeBackend()
 		}
 	})
 }
 
+// probeBackend opens a connection if no idle one is open, and keeps it.
+func (d *Daemon) probeBackend() {
+	if conn, err := d.backend.openConnection(d.ctx); err == nil {
+		d.backend.putIdle(conn)
+	}
+}
+
 // callID returns the ID of an attempt in the crash tracker.
 func (a *localAttempt) callID() (id uuid.UUID) {
 	binary.BigEndian.PutUint64(id[8:], a.id)
