slots: adopt the rate that other daemons know after a restart

The rate comes with the reported load, daemons send it with their requests, and a daemon whose backend server has not answered yet adopts it. An answer of its own replaces it, so that no limit outlives its statement.

A first try, four requests at once until the first answer, is reverted: runs of the platform's tests with 10 s runs never got their slots, as would any upstream with long runs after a restart.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -182,7 +182,7 @@
 	age := s.loadAge(now)
 	s.inFlight++
 	s.attemptsSinceLoad++
-	return Step{Upstream: s.upstream, MayQueue: req.mayQueue, LoadAge: age}
+	return Step{Upstream: s.upstream, MayQueue: req.mayQueue, LoadAge: age, Rate: s.load.Rate}
 }
 
 // refuse ends a request that has no attempt under way. If an earlier attempt was lost it
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -60,6 +60,8 @@
 	// LoadAge is the age of the load report on which the choice of Upstream was based, -1 s if
 	// there was none.
 	LoadAge time.Duration
+	// Rate is the limit on starts per second that Upstream last reported, 0 for none.
+	Rate float64
 	// AvoidFor is how long the upstream of the previous attempt is avoided, 0 if it is not.
 	AvoidFor time.Duration
 }
--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -113,12 +113,15 @@
 	Run time.Duration
 	// Failing is the recent share of runs that failed or were rejected.
 	Failing float64
+	// Rate is the limit on starts per second, 0 for none.
+	Rate float64
 }
 
 // Limiter admits requests to the slots of one backend server. It is not safe for concurrent
 // use.
 type Limiter struct {
 	limit   int
+	heard   bool // the backend server has answered, and would have stated a rate
 	closed  bool
 	running map[uint64]activeRun // by request ID
 	queue   []waitingRequest     // by rank, then by arrival
@@ -466,7 +469,7 @@
 // Load returns the load that is reported to other daemons.
 func (l *Limiter) Load() Load {
 	limit := max(int(math.Round(l.concurrency())), 1)
-	return Load{Running: len(l.running), Waiting: len(l.queue), Limit: limit, Run: l.run.value, Failing: l.failing}
+	return Load{Running: len(l.running), Waiting: len(l.queue), Limit: limit, Run: l.run.value, Failing: l.failing, Rate: l.rate.perSecond}
 }
 
 // Release frees the slot of a request that was started but whose slot was not used, without
--- a/core/slots/rate.go
+++ b/core/slots/rate.go
@@ -61,22 +61,32 @@
 	}
 	l.rate.refill(now)
 	l.rate.perSecond, l.rate.statedAt = max(perSecond, minRate), now
+	l.heard = true
+}
+
+// AdoptRate limits the starts to a rate that other daemons know from the backend server, until it
+// has answered here. perSecond is 0 if they know of none.
+func (l *Limiter) AdoptRate(now time.Time, perSecond float64) {
+	if !l.heard && !l.rate.active() && perSecond > 0 {
+		l.SetRate(now, perSecond)
+		l.heard = false
+	}
 }
 
 // EndRate ends the limit after an answer that states none. Answers to requests that were sent
 // before the latest statement may be older than it and end nothing. It reports whether a limit
 // has ended.
 func (l *Limiter) EndRate(sent time.Time) bool {
+	l.heard = true
 	if !l.rate.active() || !sent.After(l.rate.statedAt) {
 		return false
 	}
-	l.ClearRate()
+	l.rate = rateLimit{}
 	return true
 }
 
-// ClearRate ends the limit, because another backend server has taken the place of the one that
-// stated it.
-func (l *Limiter) ClearRate() { l.rate = rateLimit{} }
+// ResetRate forgets what the backend server has stated, because another one has taken its place.
+func (l *Limiter) ResetRate() { l.rate, l.heard = rateLimit{}, false }
 
 // Rate returns the limit on starts per second, 0 for none.
 func (l *Limiter) Rate() float64 { return l.rate.perSecond }
--- a/core/slots/rate_test.go
+++ b/core/slots/rate_test.go
@@ -106,3 +106,30 @@
 		})
 	})
 }
+
+// Guards against a burst beyond the rate by a daemon that has restarted, and against a rate that
+// outlives its statement because other daemons still know it.
+func TestAdoptedRate(t *testing.T) {
+	Convey("A rate that other daemons know holds until the backend server has answered", t, func() {
+		l := New(40)
+		l.AdoptRate(start, 0)
+		So(l.Rate(), ShouldEqual, 0)
+		l.AdoptRate(start, 2.5)
+		starts := 0
+		for id := uint64(0); id < 1600; id++ {
+			now := start.Add(time.Duration(id) * 4 * time.Second / 1600)
+			l.AdoptRate(now, 2.5)
+			r := Request{ID: id, Kind: "k", Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+			if l.Admit(now, r).Verdict == Start {
+				starts++
+			}
+		}
+		So(starts, ShouldBeBetween, 9, 13)
+		So(l.EndRate(start.Add(time.Second)), ShouldBeTrue)
+		l.AdoptRate(start.Add(5*time.Second), 2.5)
+		So(l.Rate(), ShouldEqual, 0)
+		l.ResetRate()
+		l.AdoptRate(start.Add(5*time.Second), 2.5)
+		So(l.Rate(), ShouldEqual, 2.5)
+	})
+}
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -273,7 +273,7 @@
 		CallerService:  c.daemon.settings.Service,
 		Fingerprint:    c.fingerprint,
 		Repeat:         c.outgoing.Sent() > 0,
-		UntilObjective: c.outgoing.Objective.Sub(now), Left: c.outgoing.Deadline.Sub(now), MayQueue: step.MayQueue,
+		UntilObjective: c.outgoing.Objective.Sub(now), Left: c.outgoing.Deadline.Sub(now), MayQueue: step.MayQueue, Rate: step.Rate,
 	}
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -44,6 +44,9 @@
 	// UntilObjective and Left are the times left until the latency objective and until the
 	// deadline.
 	UntilObjective, Left time.Duration
+	// Rate is the limit on requests per second that the sender knows of the upstream, 0 for none.
+	// A daemon that has restarted beside a limited upstream adopts it.
+	Rate float64
 	// MayQueue allows the request to wait for a slot.
 	MayQueue bool
 	// Reports are crash reports of requests with the fingerprint.
--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -69,5 +69,5 @@
 		return
 	}
 	d.local = listed
-	d.limiter.ClearRate()
+	d.limiter.ResetRate()
 }
