--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -18,7 +18,6 @@
 	// Deadline is when it ends: after the time left at Open, or after the route's timeout if
 	// that is shorter, or when the daemon stops.
 	Arrived, Objective, Deadline time.Time
-	stopping                     bool // Deadline is when the daemon stops
 
 	tried      map[string]bool // upstreams that were asked and did not grant a slot
 	mayHaveRun map[string]bool // upstreams that may have begun to run it
@@ -28,6 +27,7 @@
 	asked       int
 	sent        int
 	lost        bool // an attempt may have run without a known outcome
+	stopping    bool // Deadline is when the daemon stops
 	// refusals counts upstreams that refused for load. mayQueue allows the next one to queue
 	// the request.
 	refusals int
--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -10,7 +10,7 @@
 // arrives and again when a queued request is about to start.
 //
 // Check returns Refuse after Threshold reports from distinct incarnations, of which
-// those of runs that started before an earlier crash was known count as one, unless
+// those of runs that started before any crash was known count as one, unless
 // the requests that ran at the same time explain the crashes of the fingerprint.
 // They don't if all other suspects of one crash have been answered since, or if no
 // two other suspects together account for all crashes. Two, because two faults can
@@ -34,8 +34,9 @@
 // causes can be refused until its entry expires. Crashes that no request caused
 // count as well. A daemon that gets no reports from others needs Threshold crashes
 // of its own. Copies of a request that run at the same time on several backend servers
-// are refused after more crashes than Threshold. A request that crashes backend servers only sometimes is cleared by
-// each answered run. Requests with equal fingerprints are judged together.
+// are refused after more crashes than Threshold. A request that crashes backend
+// servers only sometimes is cleared by each answered run. Requests with equal
+// fingerprints are judged together.
 //
 // The package reads no clock, does no I/O and is not safe for concurrent use.
 package quarantine
