mesh: tell peers only of the leaving that an upstream has stated

An upstream whose entry goes from draining back to ready stayed unused at other daemons: replies said that it leaves for a draining entry as well, and what a daemon hears of a statement is final for the incarnation. Replies now carry the statement of the upstream only.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -137,6 +137,12 @@
 	return true
 }
 
+// StatedLeaving reports whether an upstream has stated that it is shutting down.
+func (d *Directory) StatedLeaving(id string) bool {
+	e := d.entries[id]
+	return e != nil && e.leaving
+}
+
 // Remove records that the store does not list an upstream any more. The upstream is removed
 // at once if it is draining, or if now is outside the grace; otherwise its entry lapses.
 func (d *Directory) Remove(now time.Time, id string) {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -153,7 +153,9 @@
 		d.Put(u)
 		So(d.MarkLeaving("a", 4), ShouldBeFalse)
 		So(d.Serving("s"), ShouldHaveLength, 1)
+		So(d.StatedLeaving("a"), ShouldBeFalse)
 		So(d.MarkLeaving("a", 5), ShouldBeTrue)
+		So(d.StatedLeaving("a"), ShouldBeTrue)
 		So(d.MarkLeaving("a", 5), ShouldBeFalse)
 		So(d.Serving("s"), ShouldBeEmpty)
 		u.Sequence = 2
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -218,11 +218,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	local, _ := d.dir.At(d.settings.BackendAddress)
 	return Reply{
 		Outcome: outcome, Reason: string(decision.Reason), Wait: decision.Wait,
 		Load: d.limiter.Load(), Call: d.callGraph.IsCall(a.kind), Blocked: d.callMeter.Shares(now), State: d.state(),
-		Leaving: local.Draining && local.ID == a.instance, Reports: d.crashes.ReportsOf(a.fingerprint),
+		Leaving: d.dir.StatedLeaving(a.instance), Reports: d.crashes.ReportsOf(a.fingerprint),
 	}
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -114,7 +114,7 @@
 	Wait time.Duration
 	// Load is the load of the backend server.
 	Load slots.Load
-	// Leaving says that the upstream takes no new requests.
+	// Leaving says that the upstream has stated that it is shutting down.
 	Leaving bool
 	// Answer is set for OutcomeAnswered.
 	Answer *Answer
