mesh: don't wait in the first watch of the store after a source failed

Callers got 404 for a route that the new configuration has.

Cause, from the log of that daemon: it followed the daemon of the VM that the test cuts off. "source failed" 1.0 s after the cut, the store is back by then in era 2. The watch that it starts waits for changes after revision 9, which it knows from era 1 and which the new configuration has in era 2: it ends 1.37 s later with another era. Only a watch after a failed read did not wait.

Ruled out: that peers are missing. They notify three others of a change, which is why the fault shows rarely.

Class: a watch that continues from a position that was not read just now. The first watch after time that was spent on a source doesn't wait now. It costs one read for each source that fails.

--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -47,16 +47,17 @@
 	d.changed = make(chan struct{})
 }
 
-// follow waits once for changes from this daemon's source. It returns false if this daemon has
-// to watch the store itself, because it has no source or the source failed. If following is
-// false, the source replies at once, which shows whether it can serve as one.
-func (d *Daemon) follow(following bool) bool {
+// source returns the address of the daemon to follow. It is empty if this daemon has to watch the
+// store itself.
+func (d *Daemon) source() string {
 	d.mu.Lock()
-	source := d.sources.Source(time.Now(), d.fleet())
-	d.mu.Unlock()
-	if source == "" {
-		return false
-	}
+	defer d.mu.Unlock()
+	return d.sources.Source(time.Now(), d.fleet())
+}
+
+// follow waits once for changes from a source. It returns false if the source failed. If following
+// is false, the source replies at once, which shows whether it can serve as one.
+func (d *Daemon) follow(source string, following bool) bool {
 	wait := followWait
 	if !following {
 		wait = 0
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -65,14 +65,18 @@
 	// listed says that the latest successful read was a complete listing.
 	needList, listed, failures, following := true, false, 0, false
 	for d.ctx.Err() == nil {
-		if !needList && failures == 0 {
+		probe := failures > 0
+		if source := d.source(); source == "" {
+			following = false
+		} else if !needList && failures == 0 {
 			// The first request to a source does not wait for changes: if the source has
 			// failed, none would arrive until the request times out.
-			if following = d.follow(following); following {
+			if following = d.follow(source, following); following {
 				continue
 			}
+			probe = true
 		}
-		update, err := d.readStore(needList, failures > 0)
+		update, err := d.readStore(needList, probe)
 		d.metrics.Count(metricReads, readResult(err))
 		switch {
 		case err == nil:
@@ -135,8 +139,9 @@
 }
 
 // readStore reads the complete state, or the changes after the position of the replica. With
-// probe, it does not wait for changes: after failed reads, the store may have been restored and
-// have assigned the replica's revision again, so that a watch from there misses changes.
+// probe, it does not wait for changes: since the latest successful read, the store may have been
+// restored and have assigned the replica's revision again, so that a watch from there misses
+// changes. This is so after failed reads, and after time spent on a source.
 func (d *Daemon) readStore(needList, probe bool) (replica.Update, error) {
 	if needList {
 		return d.listStore()
