directory: remember that an upstream leaves when its entry was removed

Cause: the statement that an upstream leaves was part of its entry in the directory.

Change: the record of an upstream that left keeps the statement. Relist puts entries in place by the same function as Put.

TestStatedLeaving fails without the change (both new cases) and passes with it. Cost: one look-up by ID for each entry that changes.

--- a/core/directory/departures.go
+++ b/core/directory/departures.go
@@ -10,6 +10,7 @@
 type departure struct {
 	id                    string
 	incarnation, sequence int64
+	leaving               bool // the upstream had stated that it is shutting down
 }
 
 // relisting is an entry from before its upstream left, which the store lists again.
@@ -25,11 +26,11 @@
 	relisted map[string]*relisting
 }
 
-func (d *departures) add(u Upstream) {
+func (d *departures) add(u Upstream, leaving bool) {
 	if d.latest == nil {
 		d.latest = make(map[string]departure)
 	}
-	left := departure{id: u.ID, incarnation: u.Incarnation, sequence: u.Sequence}
+	left := departure{id: u.ID, incarnation: u.Incarnation, sequence: u.Sequence, leaving: leaving}
 	d.latest[u.ID] = left
 	d.order = append(d.order, left)
 	if len(d.order) > maxDepartures {
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -95,19 +95,32 @@
 		d.departures.relist(u)
 		return false
 	}
+	d.replace(u)
+	return true
+}
+
+// replace puts an entry in the place of earlier ones of the upstream and of its address.
+func (d *Directory) replace(u Upstream) {
+	e := &entry{Upstream: u, leaving: d.hasStatedLeaving(u)}
+	e.Draining = e.Draining || e.leaving
 	d.departures.forget(u.ID)
-	for id, e := range d.entries {
-		if id != u.ID && e.Address == u.Address {
+	for id, other := range d.entries {
+		if id != u.ID && other.Address == u.Address {
 			delete(d.entries, id)
 		}
 	}
-	e := &entry{Upstream: u}
-	if known := d.entries[u.ID]; known != nil && known.leaving && known.Incarnation == u.Incarnation {
-		e.leaving, e.Draining = true, true
-	}
 	d.entries[u.ID] = e
 	d.index = nil
-	return true
+}
+
+// hasStatedLeaving reports whether this incarnation of an upstream has stated that it is shutting
+// down, also if the store has not listed it since.
+func (d *Directory) hasStatedLeaving(u Upstream) bool {
+	if e := d.entries[u.ID]; e != nil {
+		return e.leaving && e.Incarnation == u.Incarnation
+	}
+	left := d.departures.latest[u.ID]
+	return left.leaving && left.incarnation == u.Incarnation
 }
 
 // outdated reports whether something later than the entry u is known. Entries of an upstream
@@ -162,7 +175,7 @@
 
 // drop removes an upstream that left.
 func (d *Directory) drop(e *entry) {
-	d.departures.add(e.Upstream)
+	d.departures.add(e.Upstream, e.leaving)
 	delete(d.entries, e.ID)
 	d.index = nil
 }
@@ -231,17 +244,19 @@
 // Relist puts back the upstreams that left according to an earlier state of the store, that a
 // restored store lists, and whose entries it has kept for longer than lifetime and
 // RecoveryGrace. lifetime is the time after which the store removes an entry that is not renewed.
-// It returns those that Put accepts.
+// It returns those of which nothing later is known.
 func (d *Directory) Relist(now time.Time, lifetime time.Duration) []Upstream {
 	if d.storeUnavailable {
 		return nil
 	}
 	var relisted []Upstream
 	for _, u := range d.departures.renewed(now, lifetime+RecoveryGrace) {
-		d.departures.forget(u.ID)
-		if d.Put(u) {
-			relisted = append(relisted, u)
+		if d.outdated(u) {
+			d.departures.forget(u.ID)
+			continue
 		}
+		d.replace(u)
+		relisted = append(relisted, u)
 	}
 	return relisted
 }
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -161,6 +161,19 @@
 		u.Sequence = 2
 		So(d.Put(u), ShouldBeTrue)
 		So(d.Serving("s"), ShouldBeEmpty)
+		d.Remove(start, "a")
+		Convey("also after its entry was removed and is listed again", func() {
+			u.Sequence = 3
+			So(d.Put(u), ShouldBeTrue)
+			So(d.Serving("s"), ShouldBeEmpty)
+			So(d.StatedLeaving("a"), ShouldBeTrue)
+		})
+		Convey("also after a restored store lists an earlier entry", func() {
+			So(d.Put(u), ShouldBeFalse)
+			So(d.Relist(start, 0), ShouldBeEmpty)
+			So(d.Relist(start.Add(RecoveryGrace+1), 0), ShouldHaveLength, 1)
+			So(d.Serving("s"), ShouldBeEmpty)
+		})
 		u.Incarnation, u.Sequence = 6, 1
 		So(d.Put(u), ShouldBeTrue)
 		So(d.Serving("s"), ShouldHaveLength, 1)
