mesh: log limits that are adopted or not readable

Cause: an answer with a limit that is no number counted as one without a limit and so ended the limit in force, and no log line said so. The adoption of a limit after a restart had no line either. Found by reading.

Change: an answer whose limit can't be read leaves the one in force and is logged once for each value; an adopted limit is logged.

--- a/core/slots/rate.go
+++ b/core/slots/rate.go
@@ -65,12 +65,14 @@
 }
 
 // AdoptRate limits the starts to a rate that other daemons know from the backend server, until it
-// has answered here. perSecond is 0 if they know of none.
-func (l *Limiter) AdoptRate(now time.Time, perSecond float64) {
-	if !l.heard && !l.rate.active() && perSecond > 0 {
-		l.SetRate(now, perSecond)
-		l.heard = false
+// has answered here. perSecond is 0 if they know of none. It reports whether a limit has begun.
+func (l *Limiter) AdoptRate(now time.Time, perSecond float64) bool {
+	if l.heard || l.rate.active() || perSecond <= 0 {
+		return false
 	}
+	l.SetRate(now, perSecond)
+	l.heard = false
+	return true
 }
 
 // EndRate ends the limit after an answer that states none. Answers to requests that were sent
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -118,6 +118,7 @@
 	lastID           uint64
 	retryRuns        int                // number of local runs that are retries
 	local            directory.Upstream // latest entry of the local backend server that was put in force
+	invalidRate      string             // limit of the local backend server that was not readable, "" if it was
 	liveness         quarantine.Liveness
 	crashes          *quarantine.Tracker
 	unsentReports    []quarantine.Report // crash reports to be sent to peers
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -29,6 +29,8 @@
 	eventGate            = "gate"
 	eventRateStated      = "backend server stated a limit"
 	eventRateEnded       = "backend server stated no limit"
+	eventRateInvalid     = "backend server stated a limit that is not readable"
+	eventRateAdopted     = "limit of the backend server adopted"
 	eventUpstreamLeaving = "upstream is leaving"
 	eventBackendCrashed  = "backend server crashed"
 	eventQuarantined     = "request quarantined"
--- a/mesh/interfaces.go
+++ b/mesh/interfaces.go
@@ -49,6 +49,8 @@
 	// together, valid if StatesRate is set.
 	Rate       float64
 	StatesRate bool
+	// InvalidRate is the rate as it was stated, if it can't be read.
+	InvalidRate string
 	// Leaving says that the backend server is shutting down and takes no new requests.
 	Leaving bool
 }
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -127,9 +127,7 @@
 	if verdict == quarantine.Refuse {
 		return d.quarantined(now, a), OutcomeQuarantined
 	}
-	if local.ID == args.Instance {
-		d.limiter.AdoptRate(now, args.Rate)
-	}
+	d.adoptRate(now, a, local, args.Rate)
 	d.callGraph.Observe(args.Kind, args.CallerService)
 	d.lastID++
 	a.id = d.lastID
--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -48,10 +48,18 @@
 
 // recordRate limits the rate of requests as the answer states, or ends the limit. An answer to a
 // request that was not run ends none, because some of these are written without knowledge of the
-// backend server's state. d.mu is held.
+// backend server's state. An answer whose rate can't be read changes nothing. d.mu is held.
 func (d *Daemon) recordRate(now time.Time, a *localAttempt, head AnswerHead, sent time.Time) {
 	previous := d.limiter.Rate()
+	if head.InvalidRate != d.invalidRate {
+		d.invalidRate = head.InvalidRate
+		if head.InvalidRate != "" {
+			d.log.Warn(eventRateInvalid, zap.String("id", a.requestID), zap.String("upstream", a.instance),
+				zap.String("stated", head.InvalidRate), zap.Float64("rate", previous))
+		}
+	}
 	switch {
+	case head.InvalidRate != "":
 	case head.StatesRate:
 		d.limiter.SetRate(now, head.Rate)
 		if rate := d.limiter.Rate(); rate != previous {
@@ -63,11 +71,19 @@
 	}
 }
 
+// adoptRate limits the rate as the daemon that sends a request knows it, if this daemon has not had
+// an answer of the backend server since its start. d.mu is held.
+func (d *Daemon) adoptRate(now time.Time, a *localAttempt, local directory.Upstream, rate float64) {
+	if local.ID == a.instance && d.limiter.AdoptRate(now, rate) {
+		d.log.Info(eventRateAdopted, zap.String("id", a.requestID), zap.String("upstream", a.instance), zap.Float64("rate", d.limiter.Rate()))
+	}
+}
+
 // resetStatements discards what the previous backend server at the address stated. d.mu is held.
 func (d *Daemon) resetStatements(listed directory.Upstream) {
 	if listed.ID == d.local.ID && listed.Incarnation == d.local.Incarnation {
 		return
 	}
-	d.local = listed
+	d.local, d.invalidRate = listed, ""
 	d.limiter.ResetRate()
 }
