--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -267,10 +267,11 @@
 func (d *Daemon) exchangeReports() {
 	now := time.Now()
 	d.mu.Lock()
-	addresses := d.randomPeers(1)
 	if d.reportsFetched && now.Sub(d.newestReport) > reportExchangeTime {
-		addresses = nil
+		d.mu.Unlock()
+		return
 	}
+	addresses := d.randomPeers(1)
 	args := &ReportsArgs{Reports: d.crashes.Reports(now, maxExchangedReports), Exchange: true}
 	d.mu.Unlock()
 	for _, address := range addresses {
