Quarantine: run copies of a suspect one after the other in the whole fleet

Seen: after a request had crashed one upstream, and all daemons knew it, 24 copies of it that came to eight VMs at once crashed all seven others.

Cause: isolation held for one upstream. Each daemon let one copy start on its own upstream, and copies that were refused there went on to the next upstream, also with nothing but copies of themselves ahead of them. The class: a bound that each daemon keeps for itself, for a decision of the whole fleet.

Ruled out, by the logs of a trial: reports that arrive late (all daemons had them 0.5 s before), and the retries of safe requests (the same with unsafe ones).

Change: - core/dispatch: all daemons ask the upstreams for a suspect in one order, by rendezvous hashing of its fingerprint, and it queues there. If it is refused it goes on, so that a harmless suspect still finds room. - core/slots: copies of one fingerprint are expected to wait for one run of it: its end clears them or quarantines them. Queued requests that are cleared are no longer isolated. - mesh: a suspect whose connection ended keeps its slot, and its caller waits, for the 50 ms of the second check for a crash.

No messages are added. A suspect costs a hash for each upstream of its service; other requests one look-up more in the table of suspects.

TestOrderOfSuspects is new.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -4,6 +4,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/retry"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
@@ -175,14 +178,34 @@
 	if len(usable) == 0 {
 		return d.refuse(req, resultcode.NoUpstream, noUpstreamRetryAfter, "none_usable")
 	}
-	s, free := d.choose(now, req, usable)
-	req.mayQueue = req.mayQueue || !free
+	s, mayQueue := d.pick(now, req, usable)
 	req.asked++
 	req.target, req.incarnation = s.upstream.ID, s.upstream.Incarnation
 	age := s.loadAge(now)
 	s.inFlight++
 	s.attemptsSinceLoad++
-	return Step{Upstream: s.upstream, MayQueue: req.mayQueue, LoadAge: age, Rate: s.load.Rate}
+	return Step{Upstream: s.upstream, MayQueue: mayQueue, LoadAge: age, Rate: s.load.Rate}
+}
+
+// pick returns the upstream to ask next, and whether it may queue the request. A suspect queues
+// where its copies do, and goes on to the next upstream only if it is refused.
+func (d *Dispatcher) pick(now time.Time, req *OutgoingRequest, usable []*upstreamState) (*upstreamState, bool) {
+	if req.Suspect != "" {
+		return firstInOrder(req.Suspect, usable), true
+	}
+	s, free := d.choose(now, req, usable)
+	req.mayQueue = req.mayQueue || !free
+	return s, req.mayQueue
+}
+
+// firstInOrder returns the upstream that all daemons ask first for requests with the key.
+func firstInOrder(key string, usable []*upstreamState) *upstreamState {
+	byID := make(map[string]*upstreamState, len(usable))
+	ids := make([]string, len(usable))
+	for i, s := range usable {
+		ids[i], byID[s.upstream.ID] = s.upstream.ID, s
+	}
+	return byID[rendezvous.New(ids, xxhash.Sum64String).Lookup(key)]
 }
 
 // refuse ends a request that has no attempt under way. If an earlier attempt was lost it
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -361,3 +361,48 @@
 		})
 	})
 }
+
+// Guards against daemons that send copies of a suspect to different upstreams at the same time.
+func TestOrderOfSuspects(t *testing.T) {
+	Convey("Daemons of all zones ask the upstreams for a suspect in one order, and may queue", t, func() {
+		orders, firsts := map[string]bool{}, map[string]bool{}
+		for key := range 20 {
+			clear(orders)
+			for zone := range 3 {
+				d, _ := fleet(6)
+				d.cfg.Zone, d.cfg.Rand = string(rune('a'+zone)), rand.New(rand.NewPCG(uint64(zone), 7))
+				req := open(d, true)
+				req.Suspect = fmt.Sprint("key-", key)
+				step := d.Next(start, req)
+				order := ""
+				for range 3 {
+					So(step.Code, ShouldEqual, resultcode.Code(0))
+					So(step.MayQueue, ShouldBeTrue)
+					order += step.Upstream.ID
+					step = d.Report(start, req, Report{Result: Refused, Wait: time.Second, Retryable: true})
+				}
+				orders[order], firsts[order[:2]] = true, true
+			}
+			So(orders, ShouldHaveLength, 1)
+		}
+		So(len(firsts), ShouldBeGreaterThan, 3)
+	})
+	Convey("A suspect that no upstream takes is refused, and one that is cleared is sent as any other", t, func() {
+		d, _ := fleet(2)
+		req := open(d, true)
+		req.Suspect = "key"
+		step := d.Next(start, req)
+		first := step.Upstream.ID
+		for range maxAsked {
+			if step.Code == 0 {
+				step = d.Report(start, req, Report{Result: Refused, Wait: time.Second, Retryable: true})
+			}
+		}
+		So(step.Code, ShouldEqual, resultcode.Shed)
+		cleared := open(d, true)
+		cleared.Suspect = "key"
+		So(d.Next(start, cleared).Upstream.ID, ShouldEqual, first)
+		cleared.Suspect = ""
+		So(d.Report(start, cleared, Report{Result: NoReply, Retryable: true}).Upstream.ID, ShouldNotEqual, first)
+	})
+}
--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -12,5 +12,9 @@
 // meet the request's objective, because traffic between zones is expensive. Upstreams report
 // their load with their replies. Between two replies, a daemon adds what it has sent itself.
 //
+// Suspects, of which equal requests ran at a crash of an upstream, are asked for in one order by all
+// daemons, which rendezvous hashing gives, so that copies of a request that crashes upstreams don't
+// crash several at the same time.
+//
 // A Dispatcher reads no clock, starts no goroutine, and is not safe for concurrent use.
 package dispatch
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -18,6 +18,10 @@
 	// Deadline is when it ends: after the time left at Open, or after the route's timeout if
 	// that is shorter, or when the daemon stops.
 	Arrived, Objective, Deadline time.Time
+	// Suspect is a key of the request if equal ones ran at a crash of an upstream, otherwise empty.
+	// It may change between two steps. All daemons ask the upstreams for a suspect in the same order,
+	// which the key determines, so that its copies run one after the other.
+	Suspect string
 
 	tried      map[string]bool // upstreams that were asked and did not grant a slot
 	mayHaveRun map[string]bool // upstreams that may have begun to run it
--- a/core/slots/isolated_test.go
+++ b/core/slots/isolated_test.go
@@ -9,7 +9,7 @@
 
 func isolatedRequest(id uint64, mayQueue bool) Request {
 	r := request(id, 1, mayQueue)
-	r.Isolated = true
+	r.Isolated, r.Fingerprint = true, id
 	return r
 }
 
@@ -22,6 +22,17 @@
 		So(l.Admit(start, isolatedRequest(2, false)).Reason, ShouldEqual, NoRoom)
 		So(l.Admit(start, isolatedRequest(3, true)), ShouldResemble, Decision{Verdict: Wait, Wait: 100 * time.Millisecond})
 		So(l.Admit(start, isolatedRequest(4, true)), ShouldResemble, Decision{Verdict: Wait, Wait: 200 * time.Millisecond})
+		Convey("copies of a request are expected to wait for one run, and start when they are no longer isolated", func() {
+			for id := uint64(20); id < 40; id++ {
+				r := isolatedRequest(id, true)
+				r.Fingerprint = 1
+				So(l.Admit(start, r), ShouldResemble, Decision{Verdict: Wait, Wait: 300 * time.Millisecond})
+			}
+			for id := uint64(20); id < 24; id++ {
+				l.SetIsolated(id, false)
+			}
+			So(l.Tick(start), ShouldHaveLength, 4)
+		})
 		Convey("less important requests start beside it and before queued isolated ones", func() {
 			So(l.Admit(start, request(5, 2, false)).Verdict, ShouldEqual, Start)
 			So(l.Tick(start), ShouldBeEmpty)
@@ -40,7 +51,7 @@
 				l.Admit(start, request(100+i, 0, false))
 			}
 			So(l.Admit(start, request(7, 0, true)).Verdict, ShouldEqual, Wait)
-			l.Isolate(7)
+			l.SetIsolated(7, true)
 			So(l.Done(start, 100, Outcome{Elapsed: 100 * time.Millisecond}), ShouldBeEmpty)
 			So(l.Done(start, 1, Outcome{Elapsed: 100 * time.Millisecond})[0].ID, ShouldEqual, 7)
 		})
--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -49,6 +49,9 @@
 	MayQueue bool
 	// Isolated marks requests of which at most one runs at a time.
 	Isolated bool
+	// Fingerprint is equal for copies of one request. The first copy that runs decides whether the
+	// others have to wait any longer.
+	Fingerprint uint64
 }
 
 // Verdict says what happens to a request.
@@ -263,12 +266,19 @@
 	return w
 }
 
-// Isolate marks a queued request as isolated.
-func (l *Limiter) Isolate(id uint64) {
+// SetIsolated sets whether a queued request is isolated. One that no longer is may start at the next
+// Tick or end of a run.
+func (l *Limiter) SetIsolated(id uint64, isolated bool) {
 	for i := range l.queue {
-		if w := &l.queue[i]; w.ID == id && !w.Isolated {
-			w.Isolated = true
+		w := &l.queue[i]
+		if w.ID != id || w.Isolated == isolated {
+			continue
+		}
+		w.Isolated = isolated
+		if isolated {
 			l.isolatedWaiting++
+		} else {
+			l.isolatedWaiting--
 		}
 	}
 }
@@ -298,6 +308,21 @@
 	return n
 }
 
+// fingerprintsAhead counts the different fingerprints of the isolated requests before a position of
+// the queue, except one.
+func (l *Limiter) fingerprintsAhead(position int, except uint64) int {
+	if l.isolatedWaiting == 0 {
+		return 0
+	}
+	seen := map[uint64]struct{}{except: {}}
+	for _, w := range l.queue[:position] {
+		if w.Isolated {
+			seen[w.Fingerprint] = struct{}{}
+		}
+	}
+	return len(seen) - 1
+}
+
 // latestStart returns the time by which a request must start: early enough to meet its
 // objective, or within lateWaitShare of the time left beyond its run, whichever is later.
 func latestStart(now time.Time, r Request, run time.Duration) time.Time {
@@ -365,7 +390,7 @@
 		wait = time.Duration(float64(run) * float64(ahead+1) / (l.concurrency() * l.slotShare(now, r.Rank)))
 	}
 	if l.blocked(r) {
-		wait = max(wait, run*time.Duration(l.isolatedAhead(position)+1))
+		wait = max(wait, run*time.Duration(l.fingerprintsAhead(position, r.Fingerprint)+1))
 	}
 	return wait
 }
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -161,6 +161,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.outgoing = d.dispatcher.Open(now, c.route, service, left, d.retryShare())
+	c.outgoing.Suspect = d.suspectKey(now, c.fingerprint)
 	return d.dispatcher.Next(now, c.outgoing)
 }
 
@@ -205,7 +206,9 @@
 	d := c.daemon
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.dispatcher.Report(time.Now(), c.outgoing, r)
+	now := time.Now()
+	c.outgoing.Suspect = d.suspectKey(now, c.fingerprint)
+	return d.dispatcher.Report(now, c.outgoing, r)
 }
 
 // pendingAnswer is an answer that has not been passed on. more fetches the next part of its
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -71,8 +72,10 @@
 	leaving := !listed || local.Draining
 	var reports []quarantine.Report
 	if !leaving {
-		reports = d.crashes.BackendCrashed(time.Now(), uuid.New())
+		now := time.Now()
+		reports = d.crashes.BackendCrashed(now, uuid.New())
 		d.spreadReports("made", reports)
+		d.isolateWaiting(now)
 	}
 	d.metrics.Count(metricCrashes)
 	d.log.Warn(eventBackendCrashed, zap.String("upstream", local.ID), zap.Int64("incarnation", local.Incarnation),
@@ -81,8 +84,9 @@
 
 // checkCrash checks, after the backend server has ended a connection, whether it has crashed, and
 // calls done when that is known. An idle connection that stays open shows that it lives; otherwise
-// a new one is opened, which calls backendConnected.
-func (d *Daemon) checkCrash(done func()) {
+// a new one is opened, which calls backendConnected. checkCrash returns after the first check unless
+// wait is set.
+func (d *Daemon) checkCrash(wait bool, done func()) {
 	ctx, cancel := context.WithTimeout(d.ctx, crashProbeTimeout)
 	defer cancel()
 	conn, err := d.backend.openConnection(ctx)
@@ -90,14 +94,19 @@
 		done()
 		return
 	}
-	d.workers.Go(func() {
+	recheck := func() {
 		defer done()
 		d.pause(crashRecheckDelay)
 		d.backend.putIdle(conn)
 		if !openAndEmpty(conn.Conn) {
 			d.probeBackend()
 		}
-	})
+	}
+	if wait {
+		recheck()
+		return
+	}
+	d.workers.Go(recheck)
 }
 
 // probeBackend opens a connection if no idle one is open, and keeps it.
@@ -128,9 +137,21 @@
 	if cleared := d.crashes.CallEnded(a.callID(), answered); len(cleared) > 0 {
 		d.log.Info(eventCleared, zap.String("id", a.requestID), fingerprintField(a.fingerprint))
 		d.spreadReports("made", cleared)
+		d.isolateWaiting(time.Now())
 	}
 }
 
+// endRunWithoutAnswer records the end of a run, after a check for a crash if the backend server has
+// ended its connection. It waits for the whole check of a suspect, which keeps its slot meanwhile, so
+// that its copies don't run.
+func (d *Daemon) endRunWithoutAnswer(a *localAttempt, connectionEnded bool) {
+	if !connectionEnded {
+		d.recordRunEnd(a, false)
+		return
+	}
+	d.checkCrash(d.isSuspect(a.fingerprint), func() { d.recordRunEnd(a, false) })
+}
+
 // quarantinedFor returns how long equal requests are refused, 0 if they are not.
 func (d *Daemon) quarantinedFor(fp uint64) time.Duration {
 	d.mu.Lock()
@@ -138,6 +159,21 @@
 	return d.crashes.RefusedFor(time.Now(), fp)
 }
 
+// isSuspect reports whether equal requests ran at a crash and are not quarantined.
+func (d *Daemon) isSuspect(fp uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashes.Check(time.Now(), fp) == quarantine.Isolate
+}
+
+// suspectKey returns OutgoingRequest.Suspect of requests with the fingerprint. d.mu is held.
+func (d *Daemon) suspectKey(now time.Time, fp uint64) string {
+	if d.crashes.Check(now, fp) != quarantine.Isolate {
+		return ""
+	}
+	return strconv.FormatUint(fp, 16)
+}
+
 // refuseQuarantined releases the slot of a request that has been quarantined since it asked for
 // the slot, and reports whether it has been.
 func (d *Daemon) refuseQuarantined(a *localAttempt) (slots.Decision, bool) {
@@ -176,8 +212,7 @@
 	d.mergeReports(time.Now(), reports)
 }
 
-// mergeReports merges reports of a peer, and isolates the waiting requests that become suspects.
-// d.mu is held.
+// mergeReports merges reports of a peer. d.mu is held.
 func (d *Daemon) mergeReports(now time.Time, reports []quarantine.Report) {
 	if len(reports) == 0 {
 		return
@@ -187,10 +222,13 @@
 		return
 	}
 	d.spreadReports("received", added)
+	d.isolateWaiting(now)
+}
+
+// isolateWaiting isolates the waiting requests that are suspects, and no others. d.mu is held.
+func (d *Daemon) isolateWaiting(now time.Time) {
 	for id, a := range d.waiting {
-		if d.crashes.Check(now, a.fingerprint) == quarantine.Isolate {
-			d.limiter.Isolate(id)
-		}
+		d.limiter.SetIsolated(id, d.crashes.Check(now, a.fingerprint) == quarantine.Isolate)
 	}
 }
 
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -134,7 +134,7 @@
 	decision := d.limiter.Admit(now, slots.Request{
 		ID: a.id, Kind: args.Kind, Rank: args.Rank, MayQueue: args.MayQueue,
 		Objective: now.Add(args.UntilObjective), Deadline: now.Add(args.Left),
-		Isolated: verdict == quarantine.Isolate,
+		Isolated: verdict == quarantine.Isolate, Fingerprint: args.Fingerprint,
 	})
 	switch decision.Verdict {
 	case slots.Refuse:
@@ -355,11 +355,6 @@
 
 // replyWithoutAnswer returns the reply to a request that has no usable answer.
 func (d *Daemon) replyWithoutAnswer(ctx context.Context, a *localAttempt, sent bool, started time.Time, err error) Reply {
-	if !sent && !errors.Is(err, errBackendDown) {
-		d.dropSlot(a)
-	} else {
-		d.releaseSlot(a, slots.Outcome{Failed: true})
-	}
 	outcome, reason := OutcomeLost, "no_answer"
 	switch {
 	case !sent && errors.Is(err, errBackendDown):
@@ -371,10 +366,11 @@
 	case a.ctx.Err() != nil:
 		reason = "canceled"
 	}
-	if reason == "no_answer" {
-		d.checkCrash(func() { d.recordRunEnd(a, false) })
+	d.endRunWithoutAnswer(a, reason == "no_answer")
+	if outcome == OutcomeUnsent {
+		d.dropSlot(a)
 	} else {
-		d.recordRunEnd(a, false)
+		d.releaseSlot(a, slots.Outcome{Failed: true})
 	}
 	elapsed := time.Since(started)
 	d.metrics.Observe(metricBackendTime, elapsed, a.kind, reason)
