mesh: suspect also runs whose callers have left when their connection ends

Seen: a request whose callers leave during its run crashed six of six upstreams and was never quarantined.

Cause: only exchanges that failed while somebody waited for them were checked for a crash. All others ended their run before the crash was known.

Change: what counts is who ended the connection. If the daemon did not close it itself, the end is checked for a crash.

--- a/mesh/local.go
+++ b/mesh/local.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"sync/atomic"
@@ -366,7 +367,7 @@
 	case a.ctx.Err() != nil:
 		reason = "canceled"
 	}
-	d.endRunWithoutAnswer(a, reason == "no_answer")
+	d.endRunWithoutAnswer(a, sent && !errors.Is(err, net.ErrClosed))
 	if outcome == OutcomeUnsent {
 		d.dropSlot(a)
 	} else {
