slots: isolate waiting requests in one pass over the queue

Each new report made one pass over the queue for each waiting request, under the lock of the daemon's state. The queue knows the fingerprints now. Same decisions.

--- a/core/slots/isolated_test.go
+++ b/core/slots/isolated_test.go
@@ -28,10 +28,8 @@
 				r.Fingerprint = 1
 				So(l.Admit(start, r), ShouldResemble, Decision{Verdict: Wait, Wait: 300 * time.Millisecond})
 			}
-			for id := uint64(20); id < 24; id++ {
-				l.SetIsolated(id, false)
-			}
-			So(l.Tick(start), ShouldHaveLength, 4)
+			l.IsolateWaiting(func(fingerprint uint64) bool { return fingerprint != 1 })
+			So(l.Tick(start), ShouldHaveLength, 8) // the other slots
 		})
 		Convey("less important requests start beside it and before queued isolated ones", func() {
 			So(l.Admit(start, request(5, 2, false)).Verdict, ShouldEqual, Start)
@@ -50,8 +48,10 @@
 			for i := range uint64(20) {
 				l.Admit(start, request(100+i, 0, false))
 			}
-			So(l.Admit(start, request(7, 0, true)).Verdict, ShouldEqual, Wait)
-			l.SetIsolated(7, true)
+			suspect := request(7, 0, true)
+			suspect.Fingerprint = 7
+			So(l.Admit(start, suspect).Verdict, ShouldEqual, Wait)
+			l.IsolateWaiting(func(fingerprint uint64) bool { return fingerprint > 0 })
 			So(l.Done(start, 100, Outcome{Elapsed: 100 * time.Millisecond}), ShouldBeEmpty)
 			So(l.Done(start, 1, Outcome{Elapsed: 100 * time.Millisecond})[0].ID, ShouldEqual, 7)
 		})
--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -266,19 +266,14 @@
 	return w
 }
 
-// SetIsolated sets whether a queued request is isolated. One that no longer is may start at the next
-// Tick or end of a run.
-func (l *Limiter) SetIsolated(id uint64, isolated bool) {
+// IsolateWaiting sets for all queued requests whether they are isolated, by their fingerprints. Those
+// that no longer are may start at the next Tick or end of a run.
+func (l *Limiter) IsolateWaiting(isolated func(fingerprint uint64) bool) {
+	l.isolatedWaiting = 0
 	for i := range l.queue {
 		w := &l.queue[i]
-		if w.ID != id || w.Isolated == isolated {
-			continue
-		}
-		w.Isolated = isolated
-		if isolated {
+		if w.Isolated = isolated(w.Fingerprint); w.Isolated {
 			l.isolatedWaiting++
-		} else {
-			l.isolatedWaiting--
 		}
 	}
 }
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -227,9 +227,7 @@
 
 // isolateWaiting isolates the waiting requests that are suspects, and no others. d.mu is held.
 func (d *Daemon) isolateWaiting(now time.Time) {
-	for id, a := range d.waiting {
-		d.limiter.SetIsolated(id, d.crashes.Check(now, a.fingerprint) == quarantine.Isolate)
-	}
+	d.limiter.IsolateWaiting(func(fp uint64) bool { return d.crashes.Check(now, fp) == quarantine.Isolate })
 }
 
 // spreadReports queues reports that are new to this daemon for some of its peers. d.mu is held.
