Quarantine: count only answered exchanges of crash reports

Found by reading, then shown by a test: a VM that is cut off from all others while its upstream crashes three times under a request refuses it, but no other daemon ever learns of it. After the cut the request is sent to upstreams elsewhere as a new one.

Cause: reports are exchanged for 10 s after each new one. If all exchanges of these 10 s fail, none follow. The class: an effort that is bounded by time, also while it can't succeed.

Ruled out as sufficient: the reports that go with requests and replies; a request that begins at another VM carries none.

A daemon that is cut off makes one attempt each 500 ms, which did not end before that either while reports kept coming.

--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -28,13 +28,6 @@
 	// maxUnsentReports bounds the reports that wait to be sent. Those beyond it reach peers with
 	// exchanges.
 	maxUnsentReports = 4096
-	// reportExchangeInterval is the time between two exchanges of reports with a random peer in the
-	// reportExchangeTime after a report was new to this daemon. Six exchanges reach the daemons
-	// that the messages to reportedPeers have missed, in fleets of any size.
-	reportExchangeInterval = 500 * time.Millisecond
-	reportExchangeTime     = 10 * time.Second
-	// firstExchangeInterval is the time between two exchanges until the first has succeeded.
-	firstExchangeInterval = 100 * time.Millisecond
 	// maxExchangedReports bounds the reports that each side of an exchange sends.
 	maxExchangedReports = 64
 )
@@ -255,7 +248,7 @@
 		d.unsentReports = append(d.unsentReports, r)
 	}
 	if len(reports) > 0 {
-		d.newestReport = time.Now()
+		d.exchanges.ReportsAdded()
 		d.wakeReportLoop()
 	}
 }
@@ -287,10 +280,7 @@
 func (d *Daemon) exchangeInterval() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.reportsFetched {
-		return reportExchangeInterval
-	}
-	return firstExchangeInterval
+	return d.exchanges.Interval()
 }
 
 // sendReports sends the reports that are new to this daemon to some peers.
@@ -309,17 +299,15 @@
 	}
 }
 
-// exchangeReports exchanges reports with a random peer if some were new to this daemon recently, or
-// it has not yet received those of a peer.
+// exchangeReports exchanges reports with a random peer if that is due.
 func (d *Daemon) exchangeReports() {
-	now := time.Now()
 	d.mu.Lock()
-	if d.reportsFetched && now.Sub(d.newestReport) > reportExchangeTime {
+	if !d.exchanges.Due() {
 		d.mu.Unlock()
 		return
 	}
 	addresses := d.randomPeers(1)
-	args := &ReportsArgs{Reports: d.crashes.Reports(now, maxExchangedReports), Exchange: true}
+	args := &ReportsArgs{Reports: d.crashes.Reports(time.Now(), maxExchangedReports), Exchange: true}
 	d.mu.Unlock()
 	for _, address := range addresses {
 		d.callReports(address, args)
@@ -336,6 +324,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.reportsFetched = d.reportsFetched || args.Exchange
+	if args.Exchange {
+		d.exchanges.Answered()
+	}
 	d.mergeReports(time.Now(), reply.Reports)
 }
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -122,8 +122,7 @@
 	liveness         quarantine.Liveness
 	crashes          *quarantine.Tracker
 	unsentReports    []quarantine.Report // crash reports to be sent to peers
-	reportsFetched   bool                // a peer has answered an exchange of reports
-	newestReport     time.Time           // when a report was new to this daemon
+	exchanges        quarantine.Exchanges
 	callGraph        *callgraph.Observer
 	callMeter        *loadshed.Meter // blocked shares of the calls of the local backend server
 	entryMeter       *loadshed.Meter // blocked shares of new requests of callers
