Quarantine: suspect also runs whose connection the daemon has closed

Cause: a run counted as ended when the daemon had closed its connection.

Ruled out: that the crashes are not noticed. With other requests at the upstreams, as in the test, the next connection is refused within milliseconds.

Change: such a run stays a suspect until its deadline, which the upstream has received and at which it ends (CallAbandoned). At most 512 of these are kept. A crash without any other connection at that time is still overlooked.

--- a/core/quarantine/entry.go
+++ b/core/quarantine/entry.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// expirePerCall bounds the expired entries, and the expired crashes, that one
-	// call removes.
+	// expirePerCall bounds the expired entries, crashes and abandoned calls that one
+	// method call removes.
 	expirePerCall = 8
 	// reportsPerThreshold bounds the reports of one entry as a multiple of the
 	// threshold. More reports than the threshold are needed as long as other
@@ -159,8 +159,8 @@
 	t.outbox.MoveToFront(e.outboxElement)
 }
 
-// advance moves the tracker's time forward, never back, and removes expired entries
-// and crashes, at most expirePerCall of each.
+// advance moves the tracker's time forward, never back, and removes expired entries,
+// crashes and abandoned calls, at most expirePerCall of each.
 func (t *Tracker) advance(now time.Time) {
 	if now.After(t.now) {
 		t.now = now
@@ -173,6 +173,7 @@
 		t.remove(first)
 	}
 	t.crashes.expire(t.now.Add(-t.cfg.TTL))
+	t.expireAbandoned()
 }
 
 // newExpiry returns a heap that orders entries by their time of expiry.
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -17,6 +17,9 @@
 	// DefaultMaxEntries is the default of Config.MaxEntries.
 	DefaultMaxEntries = 4096
 
+	// maxAbandoned bounds the calls that are kept after nobody waits for them any more.
+	maxAbandoned = 512
+
 	// maxClockAhead bounds how far the time of a report may be ahead of the local
 	// clock. Clocks differ by about a second; a clearance from the far future would
 	// void all reports until then.
@@ -67,19 +70,25 @@
 	Refused bool
 }
 
-// call is a call that runs on the local backend server. suspect says that there was a report of
-// its fingerprint when it started.
+// call is a call that runs on the local backend server.
 type call struct {
 	fingerprint uint64
-	suspect     bool
+	// suspect says that there was a report of the fingerprint when the call started.
+	suspect bool
+	// until is when the backend server has stopped working on a call that nobody waits for; zero
+	// while somebody waits.
+	until time.Time
 }
 
+func (c call) hasEnded(now time.Time) bool { return !c.until.IsZero() && !c.until.After(now) }
+
 // Tracker keeps the calls that run on the local backend server and the reports that
 // one daemon knows. It is not safe for concurrent use.
 type Tracker struct {
 	cfg             Config
 	now             time.Time
 	running         map[uuid.UUID]call
+	abandoned       *list.List // IDs of the running calls that nobody waits for, oldest first
 	entries         map[uint64]*entry
 	levels          []*list.List // entries by amount of evidence, least recently changed first
 	expiry          *indexheap.Heap[*entry]
@@ -100,12 +109,13 @@
 		cfg.MaxEntries = DefaultMaxEntries
 	}
 	t := &Tracker{
-		expiry:  newExpiry(),
-		cfg:     cfg,
-		running: make(map[uuid.UUID]call),
-		entries: make(map[uint64]*entry),
-		crashes: newCrashes(max(cfg.MaxEntries/4, cfg.Threshold)),
-		outbox:  list.New(),
+		expiry:    newExpiry(),
+		cfg:       cfg,
+		running:   make(map[uuid.UUID]call),
+		abandoned: list.New(),
+		entries:   make(map[uint64]*entry),
+		crashes:   newCrashes(max(cfg.MaxEntries/4, cfg.Threshold)),
+		outbox:    list.New(),
 	}
 	for range cfg.Threshold + 1 {
 		t.levels = append(t.levels, list.New())
@@ -175,6 +185,39 @@
 	return e.allReports()
 }
 
+// CallAbandoned records that nobody waits for a call any more. The backend server may continue it
+// until the given time, and it stays a suspect until then.
+func (t *Tracker) CallAbandoned(now time.Time, id uuid.UUID, until time.Time) {
+	t.advance(now)
+	c, ok := t.running[id]
+	if !ok {
+		return
+	}
+	if t.abandoned.Len() >= maxAbandoned {
+		t.endAbandoned(t.abandoned.Front())
+	}
+	c.until = until
+	t.running[id] = c
+	t.abandoned.PushBack(id)
+}
+
+func (t *Tracker) endAbandoned(el *list.Element) {
+	delete(t.running, el.Value.(uuid.UUID))
+	t.abandoned.Remove(el)
+}
+
+// expireAbandoned ends abandoned calls whose time is over, at most expirePerCall. It stops at the
+// first one that was abandoned and may be running.
+func (t *Tracker) expireAbandoned() {
+	for range expirePerCall {
+		first := t.abandoned.Front()
+		if first == nil || !t.running[first.Value.(uuid.UUID)].hasEnded(t.now) {
+			return
+		}
+		t.endAbandoned(first)
+	}
+}
+
 // BackendCrashed records that the local backend server died. All running calls end,
 // and each of their fingerprints gets a report. It returns the reports and the
 // refusals that they lead to, which are to be sent to other daemons.
@@ -182,9 +225,12 @@
 	t.advance(now)
 	suspects := make(map[uint64]bool, len(t.running)) // whether they were suspects before
 	for _, c := range t.running {
-		suspects[c.fingerprint] = suspects[c.fingerprint] || c.suspect
+		if !c.hasEnded(now) {
+			suspects[c.fingerprint] = suspects[c.fingerprint] || c.suspect
+		}
 	}
 	clear(t.running)
+	t.abandoned.Init()
 	reports := make([]Report, 0, len(suspects))
 	for fp, repeated := range suspects {
 		reports = append(reports, Report{Fingerprint: fp, Incarnation: incarnation, At: now, Suspects: len(suspects), Repeated: repeated})
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -231,3 +231,33 @@
 		})
 	})
 }
+
+// Guards against overlooking a call that crashes the backend server after its caller has left, and
+// against suspecting one that can no longer run.
+func TestAbandonedCalls(t *testing.T) {
+	Convey("An abandoned call is a suspect until its time is over", t, func() {
+		tracker := New(Config{})
+		for fp := range uint64(3) {
+			id := uuid.New()
+			tracker.CallStarted(fp, id)
+			tracker.CallAbandoned(atSecond(0), id, atSecond(int(3-fp)))
+		}
+		reports := tracker.BackendCrashed(atSecond(2), uuid.New())
+		So(reports, ShouldHaveLength, 1)
+		So(reports[0].Fingerprint, ShouldEqual, 0)
+		So(tracker.BackendCrashed(atSecond(2), uuid.New()), ShouldBeEmpty)
+	})
+	Convey("Abandoned calls are bounded, and forgotten after their time", t, func() {
+		tracker := New(Config{})
+		for fp := range uint64(3 * maxAbandoned) {
+			id := uuid.New()
+			tracker.CallStarted(fp, id)
+			tracker.CallAbandoned(atSecond(0), id, atSecond(1))
+		}
+		So(tracker.running, ShouldHaveLength, maxAbandoned)
+		for range maxAbandoned/expirePerCall + 1 {
+			tracker.Check(atSecond(1), 1)
+		}
+		So(tracker.running, ShouldBeEmpty)
+	})
+}
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"net"
 	"strconv"
 	"syscall"
 	"time"
@@ -145,12 +146,16 @@
 	}
 }
 
-// endRunWithoutAnswer records the end of a run, after a check for a crash if the backend server has
-// ended its connection. It waits for the whole check of a suspect, which keeps its slot meanwhile, so
+// recordLostRun records that the exchange of a run has ended without an answer. If the daemon has closed
+// the connection, the backend server may go on with the run until its deadline. Otherwise a check for
+// a crash comes first. It waits for the whole check of a suspect, which keeps its slot meanwhile, so
 // that its copies don't run.
-func (d *Daemon) endRunWithoutAnswer(a *localAttempt, connectionEnded bool) {
-	if !connectionEnded {
-		d.recordRunEnd(a, false)
+func (d *Daemon) recordLostRun(a *localAttempt, err error) {
+	if errors.Is(err, net.ErrClosed) {
+		now := time.Now()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.crashes.CallAbandoned(now, a.callID(), a.deadline)
 		return
 	}
 	d.checkCrash(d.isSuspect(a.fingerprint), func() { d.recordRunEnd(a, false) })
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"sync/atomic"
@@ -38,6 +37,7 @@
 	origin    string // the service of the VM that sent the request
 	// fingerprint is equal for requests of one service that are equal but for their IDs.
 	fingerprint uint64
+	deadline    time.Time // of the run, zero before it starts
 	isRetry     bool
 	withdrawn   bool // the daemon that sent the request starts no further attempts
 	// ctx ends when the caller leaves; cancel ends it.
@@ -253,6 +253,7 @@
 	if decision, refused := d.refuseQuarantined(a); refused {
 		return d.reply(a, OutcomeQuarantined, decision)
 	}
+	a.deadline = time.Now().Add(left)
 	ctx, cancel := context.WithTimeout(a.ctx, left)
 	graceCtx, cancelGrace := context.WithCancel(context.Background())
 	stop := context.AfterFunc(ctx, func() {
@@ -367,7 +368,9 @@
 	case a.ctx.Err() != nil:
 		reason = "canceled"
 	}
-	d.endRunWithoutAnswer(a, sent && !errors.Is(err, net.ErrClosed))
+	if sent {
+		d.recordLostRun(a, err)
+	}
 	if outcome == OutcomeUnsent {
 		d.dropSlot(a)
 	} else {
