Quarantine: copies of a suspect call meet at one upstream, in daemon too

Seen: TestCopiesOfSuspectCall, written for 'hawthornpoint daemon' after the fault of 'sidecar' that TestCopiesOfSuspect shows: three daemons that know of a crash send copies of the call that ran there to both upstreams of its service.

Cause: the one that docs/incidents/crashing-requests.md names as class, a bound that each daemon keeps for itself for a decision of the whole fleet. Suspects were isolated on each upstream, and picked one at random.

Change: a suspect without a home is sent to the upstreams in the order of rendezvous hashing of its fingerprint (Picker.PickSuspect), without those that are excluded or refuse its priority. Calls with a key or token go to their home as before: copies under other keys have other homes.

The cost is a hash for each usable upstream of the service, for suspects only.

--- a/core/balancer/pick.go
+++ b/core/balancer/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 
 	"github.com/hawthornpoint/hawthornpoint/config"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
@@ -79,6 +80,24 @@
 	return u.name, resultcode.OK
 }
 
+// PickSuspect is PickFor for a call that ran at the crash of a backend server. All daemons pick the
+// upstreams for calls with the key in one order, so that copies of such a call meet at one upstream,
+// which runs them one after the other.
+func (p *Picker) PickSuspect(now time.Time, key, kind string, exclude map[string]bool, priority int) (string, resultcode.Code) {
+	q := query{kind: p.kinds.find(kind), priority: priority, exclude: exclude, t: p.advance(now)}
+	p.refresh(q.t)
+	var names []string
+	for _, u := range p.pools[tierAny] {
+		if q.accepts(u) {
+			names = append(names, u.name)
+		}
+	}
+	if len(names) == 0 {
+		return p.PickFor(now, kind, exclude, priority)
+	}
+	return rendezvous.New(names, xxhash.Sum64String).Lookup(key), resultcode.OK
+}
+
 func (p *Picker) pick(q *query) (*upstream, resultcode.Code) {
 	if u := p.dueProbe(q); u != nil {
 		return u, resultcode.OK
--- a/core/node/client.go
+++ b/core/node/client.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -245,7 +246,12 @@
 	}
 	picker := n.picker(now, o.meta.Service)
 	name, code := o.home, resultcode.OK
-	if name == "" {
+	switch {
+	case name != "":
+	case n.crashes.Check(now, o.meta.Fingerprint) == quarantine.Isolate:
+		key := strconv.FormatUint(o.meta.Fingerprint, 16)
+		name, code = picker.PickSuspect(now, key, o.meta.Kind, o.exclude, o.meta.Priority())
+	default:
 		name, code = picker.PickFor(now, o.meta.Kind, o.exclude, o.meta.Priority())
 	}
 	if code != resultcode.OK {
