Quarantine: refuse a cause that another one accompanied at its first crashes

Found by reading, then shown by a test: two requests that crash upstreams run together at two or more servers before any crash is known. After that each runs alone, beside harmless requests that are not sent again, and crashes as many servers more as it took together with the other one, and more, instead of two.

Cause: a request is refused if no two others account for all its crashes. This was estimated as more crashes than twice those that it shares with any other request: with three first crashes in common, three more were not enough. Since servers that are lost at once count as one crash, the number of these first crashes is not bounded by the threshold any more.

Tried first: counting the first crashes as one in the estimate as well.

Change: the rule itself, by a search for two requests in all the crashes. Whatever the estimate refused is still refused. A call that was abandoned and then ended can no longer keep others in the list of abandoned calls.

TestCausesThatRanTogether fails without the change with two servers, and passes with up to ten.

--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -81,34 +83,43 @@
 }
 
 // isCause reports whether other suspects fail to explain the crashes of e, so that
-// e must be a cause. Only crashes whose suspects are all known count, and suspects
-// that have been answered since a crash are left out of it. The result is true if e
-// is the only suspect left of one crash, or if there are more crashes than
-// maxOtherCauses other suspects could have caused, counting for each of them as many
-// crashes as for the one that shares the most crashes with e.
+// e must be a cause: no maxOtherCauses of them together account for all crashes. Only
+// crashes whose suspects are all known count.
 func (t *Tracker) isCause(e *entry) bool {
-	sharedCrashes := make(map[uint64]int)
-	crashes, mostShared := 0, 0
+	var known []*crash
 	for _, r := range e.reports {
-		if !t.crashes.complete(r.Incarnation) {
+		if t.crashes.complete(r.Incarnation) {
+			known = append(known, t.crashes.get(r.Incarnation))
+		}
+	}
+	slices.SortFunc(known, func(a, b *crash) int { return cmp.Compare(a.suspectCount, b.suspectCount) })
+	return !t.explained(e, known, maxOtherCauses)
+}
+
+// explained reports whether some suspects other than e, at most causes of them, together account for
+// all the crashes. Suspects that have been answered since a crash don't account for it.
+func (t *Tracker) explained(e *entry, unexplained []*crash, causes int) bool {
+	if len(unexplained) == 0 {
+		return true
+	}
+	if causes == 0 {
+		return false
+	}
+	for fp := range unexplained[0].knownSuspects {
+		if fp == e.fingerprint || t.clearedSince(fp, unexplained[0]) {
 			continue
 		}
-		crashes++
-		onlySuspect := true
-		cr := t.crashes.get(r.Incarnation)
-		for fp := range cr.knownSuspects {
-			if fp == e.fingerprint || t.clearedSince(fp, cr) {
-				continue
+		var rest []*crash
+		for _, c := range unexplained[1:] {
+			if _, suspected := c.knownSuspects[fp]; !suspected || t.clearedSince(fp, c) {
+				rest = append(rest, c)
 			}
-			onlySuspect = false
-			sharedCrashes[fp]++
-			mostShared = max(mostShared, sharedCrashes[fp])
 		}
-		if onlySuspect {
+		if t.explained(e, rest, causes-1) {
 			return true
 		}
 	}
-	return crashes > maxOtherCauses*mostShared
+	return false
 }
 
 // clearedSince reports whether a run of fp was answered after the crash.
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -211,7 +211,10 @@
 func (t *Tracker) expireAbandoned() {
 	for range expirePerCall {
 		first := t.abandoned.Front()
-		if first == nil || !t.running[first.Value.(uuid.UUID)].hasEnded(t.now) {
+		if first == nil {
+			return
+		}
+		if c, running := t.running[first.Value.(uuid.UUID)]; running && !c.hasEnded(t.now) {
 			return
 		}
 		t.endAbandoned(first)
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -261,3 +261,43 @@
 		So(tracker.running, ShouldBeEmpty)
 	})
 }
+
+// Guards against a cause that is never refused because it ran beside another one at many servers
+// before any crash was known, and beside requests that are not sent again after that.
+func TestCausesThatRanTogether(t *testing.T) {
+	Convey("Each of two causes is refused after its first crashes and two more", t, func() {
+		for servers := 1; servers <= 10; servers++ {
+			tracker := New(Config{})
+			var first []Report
+			for range servers {
+				first = append(first, crashWith(New(Config{}), atSecond(1), 5, 6)...)
+			}
+			tracker.Merge(atSecond(1), first)
+			for n, fp := range []uint64{5, 6, 5, 6} {
+				So(tracker.Check(atSecond(2+n), fp), ShouldEqual, Isolate)
+				crashWith(tracker, atSecond(2+n), fp, uint64(100+n))
+			}
+			So(tracker.Check(atSecond(9), 5), ShouldEqual, Refuse)
+			So(tracker.Check(atSecond(9), 6), ShouldEqual, Refuse)
+			So(tracker.Check(atSecond(9), 100), ShouldEqual, Isolate)
+		}
+	})
+}
+
+func BenchmarkRefusalDecision(b *testing.B) {
+	tracker := New(Config{})
+	unique := uint64(1000)
+	for n := range reportsPerThreshold * DefaultThreshold {
+		suspects := []uint64{5, 6}
+		for range 34 {
+			unique++
+			suspects = append(suspects, unique)
+		}
+		crashWith(tracker, atSecond(n), suspects...)
+	}
+	b.ReportAllocs()
+	for range b.N {
+		tracker.evidenceVersion++
+		tracker.Check(atSecond(20), 5)
+	}
+}
