mesh: bound each check for a crash, and keep the spread of reports apart

The second check could take as long as a connection to an upstream that accepts late (500 ms), while the caller of a suspect waited for its answer. Both checks are bounded by 50 ms now, and a connection is kept as idle only after it was found open.

crashreports.go is the part of crashes.go that sends, receives and exchanges reports, moved.

--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -1,9 +1,11 @@
 // Package quarantine finds requests that crash the backend servers that run them.
 //
-// A Tracker records which calls run on the local backend server. When that server
-// dies, all of them are suspects: each of their fingerprints gets a Report that
-// names the dead incarnation of the backend server. Daemons exchange their reports;
-// merging them is a set union, so that a report that arrives twice counts once.
+// A Tracker records which calls run on the local backend server, also those that
+// nobody waits for any more, until their deadline. When that server dies, all of them
+// are suspects: each of their fingerprints gets a Report that names the dead
+// incarnation of the backend server. Daemons exchange their reports, at times that
+// Exchanges decides; merging them is a set union, so that a report that arrives twice
+// counts once.
 //
 // Check returns Isolate for a fingerprint with at least one report: admission
 // runs at most one isolated request at a time. Check is called when a request
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -17,28 +17,12 @@
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
-const (
-	// reportedPeers is how many peers each daemon sends reports to that are new to it. Nearly all
-	// daemons receive them; the others do with an exchange.
-	reportedPeers = 4
-	// reportPause is the pause after reports were sent, in which further ones are collected.
-	reportPause = 20 * time.Millisecond
-	// maxSentReports bounds the reports in one message. It exceeds the requests that a backend
-	// server usually runs at once, so that a crash is reported in one message.
-	maxSentReports = 512
-	// maxUnsentReports bounds the reports that wait to be sent. Those beyond it reach peers with
-	// exchanges.
-	maxUnsentReports = 4096
-	// maxExchangedReports bounds the reports that each side of an exchange sends.
-	maxExchangedReports = 64
-)
-
 // crashRecheckDelay is how long after the end of a connection a backend server that has not refused a
 // new one is checked again. A process that ends may close its connections before its listener.
 const crashRecheckDelay = 50 * time.Millisecond
 
-// crashProbeTimeout bounds the time for which the reply to a failed exchange waits for the first
-// check. A connection on the same VM opens or is refused within milliseconds.
+// crashProbeTimeout bounds the time for which the reply to a failed exchange waits for one check. A
+// connection on the same VM opens or is refused within milliseconds.
 const crashProbeTimeout = 50 * time.Millisecond
 
 // backendConnected records the result of opening a connection to the backend server. Refused
@@ -82,9 +66,7 @@
 // follows: a process that ends may accept or reset a last connection. checkCrash returns after the
 // first check unless wait is set.
 func (d *Daemon) checkCrash(wait bool, done func()) {
-	ctx, cancel := context.WithTimeout(d.ctx, crashProbeTimeout)
-	defer cancel()
-	conn, err := d.backend.openConnection(ctx)
+	conn, err := d.probeBackend()
 	if err != nil && !d.backendAccepts() {
 		done()
 		return
@@ -93,12 +75,15 @@
 		defer done()
 		d.pause(crashRecheckDelay)
 		if err == nil {
-			d.backend.putIdle(conn)
 			if openAndEmpty(conn.Conn) {
+				d.backend.putIdle(conn)
 				return
 			}
+			_ = conn.Close()
+		}
+		if conn, err := d.probeBackend(); err == nil {
+			d.backend.putIdle(conn)
 		}
-		d.probeBackend()
 	}
 	if wait {
 		recheck()
@@ -107,6 +92,13 @@
 	d.workers.Go(recheck)
 }
 
+// probeBackend returns an open connection to the backend server, an idle one if there is any.
+func (d *Daemon) probeBackend() (*backendConn, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, crashProbeTimeout)
+	defer cancel()
+	return d.backend.openConnection(ctx)
+}
+
 // backendAccepts reports whether the backend server has not refused a connection since it accepted one.
 func (d *Daemon) backendAccepts() bool {
 	d.mu.Lock()
@@ -114,13 +106,6 @@
 	return d.liveness.Accepting()
 }
 
-// probeBackend opens a connection if no idle one is open, and keeps it.
-func (d *Daemon) probeBackend() {
-	if conn, err := d.backend.openConnection(d.ctx); err == nil {
-		d.backend.putIdle(conn)
-	}
-}
-
 // callID returns the ID of an attempt in the crash tracker.
 func (a *localAttempt) callID() (id uuid.UUID) {
 	binary.BigEndian.PutUint64(id[8:], a.id)
@@ -211,126 +196,7 @@
 	return d.crashes.ReportsOf(fp)
 }
 
-// receiveReports merges reports that came with a reply.
-func (d *Daemon) receiveReports(reports []quarantine.Report) {
-	if len(reports) == 0 {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.mergeReports(time.Now(), reports)
-}
-
-// mergeReports merges reports of a peer. d.mu is held.
-func (d *Daemon) mergeReports(now time.Time, reports []quarantine.Report) {
-	if len(reports) == 0 {
-		return
-	}
-	added := d.crashes.Merge(now, reports)
-	if len(added) == 0 {
-		return
-	}
-	d.spreadReports("received", added)
-	d.isolateWaiting(now)
-}
-
 // isolateWaiting isolates the waiting requests that are suspects, and no others. d.mu is held.
 func (d *Daemon) isolateWaiting(now time.Time) {
 	d.limiter.IsolateWaiting(func(fp uint64) bool { return d.crashes.Check(now, fp) == quarantine.Isolate })
 }
-
-// spreadReports queues reports that are new to this daemon for some of its peers. d.mu is held.
-func (d *Daemon) spreadReports(source string, reports []quarantine.Report) {
-	for _, r := range reports {
-		d.metrics.Count(metricReports, source)
-		if r.Refused {
-			d.log.Warn(eventQuarantined, fingerprintField(r.Fingerprint), zap.Time("newest_crash", r.At), zap.String("source", source))
-		}
-		if len(d.unsentReports) >= maxUnsentReports {
-			d.metrics.Count(metricReports, "not_sent")
-			continue
-		}
-		d.unsentReports = append(d.unsentReports, r)
-	}
-	if len(reports) > 0 {
-		d.exchanges.ReportsAdded()
-		d.wakeReportLoop()
-	}
-}
-
-func (d *Daemon) wakeReportLoop() {
-	select {
-	case d.wakeReports <- struct{}{}:
-	default:
-	}
-}
-
-// reportLoop sends new reports to some peers at once, and exchanges reports with a random peer
-// from time to time.
-func (d *Daemon) reportLoop() {
-	for d.ctx.Err() == nil {
-		timer := time.NewTimer(d.exchangeInterval())
-		select {
-		case <-d.ctx.Done():
-		case <-timer.C:
-			d.exchangeReports()
-		case <-d.wakeReports:
-			d.sendReports()
-			d.pause(reportPause)
-		}
-		timer.Stop()
-	}
-}
-
-func (d *Daemon) exchangeInterval() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.exchanges.Interval()
-}
-
-// sendReports sends the reports that are new to this daemon to some peers.
-func (d *Daemon) sendReports() {
-	d.mu.Lock()
-	n := min(len(d.unsentReports), maxSentReports)
-	args := &ReportsArgs{Reports: d.unsentReports[:n:n]}
-	d.unsentReports = d.unsentReports[n:]
-	if len(d.unsentReports) > 0 {
-		d.wakeReportLoop()
-	}
-	addresses := d.randomPeers(reportedPeers)
-	d.mu.Unlock()
-	for _, address := range addresses {
-		d.workers.Go(func() { d.callReports(address, args) })
-	}
-}
-
-// exchangeReports exchanges reports with a random peer if that is due.
-func (d *Daemon) exchangeReports() {
-	d.mu.Lock()
-	if !d.exchanges.Due() {
-		d.mu.Unlock()
-		return
-	}
-	addresses := d.randomPeers(1)
-	args := &ReportsArgs{Reports: d.crashes.Reports(time.Now(), maxExchangedReports), Exchange: true}
-	d.mu.Unlock()
-	for _, address := range addresses {
-		d.callReports(address, args)
-	}
-}
-
-func (d *Daemon) callReports(address string, args *ReportsArgs) {
-	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
-	defer cancel()
-	reply, err := callPeer[ReportsReply](ctx, d.peer(address), "Reports", args)
-	if err != nil {
-		d.metrics.Count(metricFailedNotices)
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if args.Exchange {
-		d.exchanges.Answered()
-	}
-	d.mergeReports(time.Now(), reply.Reports)
-}
