--- a/mesh/message.go
+++ b/mesh/message.go
@@ -39,7 +39,7 @@
 	Kind          string
 	Rank          int
 	CallerService string
-	// Fingerprint is equal for requests of one service that are equal but for their IDs.
+	// Fingerprint is equal for requests of one service with equal method, host, path and body.
 	Fingerprint uint64
 	// UntilObjective and Left are the times left until the latency objective and until the
 	// deadline.
