--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -277,9 +277,7 @@
 	}
 	open := false
 	err = raw.Read(func(fd uintptr) bool {
-		var buffer [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
+		open = isIdle(fd)
 		return true
 	})
 	return err == nil && open
