--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -58,7 +58,7 @@
 	}
 	d := mesh.New(mesh.Options{
 		Settings: loaded.Mesh, HeaderConvention: platform.HeaderConvention{}, Decoder: platform.Decoder{},
-		Store: platform.NewStore(loaded.StoreAddress, mesh.Dial), Logger: log, Metrics: registry,
+		Store: platform.NewStore(loaded.StoreAddress, mesh.Dial, log), Logger: log, Metrics: registry,
 	})
 	if err := d.Start(); err != nil {
 		return err
