directory: entries of services that no configuration names take no upstream's place

Cause: an entry of another writer with a service that the configuration doesn't name, but with the address of an upstream and a later start, removed that upstream and kept its true entries out as outdated. The daemon at that address also took the entry for its own backend server, and refused all work if it said draining.

Change: the directory knows the services of the configuration. Entries of other services neither remove nor outdate an upstream at their address; before a configuration is in force, all entries at an address are kept and the index chooses. The log line of an unreadable item states its length.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -62,6 +62,8 @@
 // Directory holds the upstreams of all services. It is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*entry
+	// services are those that the configuration names, nil while none is in force.
+	services map[string]bool
 	// storeUnavailable is set during an outage of the store. recoveredAt is when the latest
 	// one ended; ExtendGrace can move it on.
 	storeUnavailable bool
@@ -86,7 +88,8 @@
 // Put adds or replaces an upstream. An upstream at the same address that started earlier
 // has ended and is removed. Put does nothing and returns false if a later entry of the upstream
 // is known, if the upstream left after it wrote the entry, or if a later incarnation of another
-// upstream is at the address and has not lapsed.
+// upstream is at the address and has not lapsed. An entry whose service the configuration does not
+// name has no effect on others, because another writer may have left it.
 func (d *Directory) Put(u Upstream) bool {
 	if d.outdated(u) {
 		return false
@@ -104,12 +107,37 @@
 	e := &entry{Upstream: u, leaving: d.hasStatedLeaving(u)}
 	e.Draining = e.Draining || e.leaving
 	d.departures.forget(u.ID)
+	d.entries[u.ID] = e
+	d.removeReplaced(e)
+	d.index = nil
+}
+
+// removeReplaced removes the other upstreams at the address of e, which have ended.
+func (d *Directory) removeReplaced(e *entry) {
+	if !d.serviceNamed(e) {
+		return
+	}
 	for id, other := range d.entries {
-		if id != u.ID && other.Address == u.Address {
+		if other != e && other.Address == e.Address && d.serviceNamed(other) {
 			delete(d.entries, id)
 		}
 	}
-	d.entries[u.ID] = e
+}
+
+// serviceNamed reports whether the configuration names the service of an upstream. It does not while
+// there is none.
+func (d *Directory) serviceNamed(e *entry) bool { return d.services[e.Service] }
+
+// SetServices sets the services that the configuration names.
+func (d *Directory) SetServices(services map[string]bool) {
+	d.services, d.index = services, nil
+	present := d.indexed()
+	if len(present.all) == len(d.entries) {
+		return
+	}
+	for _, u := range present.byAddress {
+		d.removeReplaced(d.entries[u.ID])
+	}
 	d.index = nil
 }
 
@@ -130,8 +158,14 @@
 	if known := d.entries[u.ID]; known != nil && u.before(known.Upstream) {
 		return true
 	}
+	return d.addressTaken(u, d.serviceNamed)
+}
+
+// addressTaken reports whether a later incarnation of another upstream is at the address of u and has
+// not lapsed. Only the entries that count are considered.
+func (d *Directory) addressTaken(u Upstream, counts func(*entry) bool) bool {
 	for id, e := range d.entries {
-		if id != u.ID && e.Address == u.Address && e.Incarnation > u.Incarnation && !e.lapsed {
+		if id != u.ID && e.Address == u.Address && e.Incarnation > u.Incarnation && !e.lapsed && counts(e) {
 			return true
 		}
 	}
@@ -251,7 +285,7 @@
 	}
 	var relisted []Upstream
 	for _, u := range d.departures.renewed(now, lifetime+RecoveryGrace) {
-		if d.outdated(u) {
+		if d.outdated(u) || d.services == nil && d.addressTaken(u, func(*entry) bool { return true }) {
 			d.departures.forget(u.ID)
 			continue
 		}
@@ -273,7 +307,13 @@
 		return d.index
 	}
 	x := &index{serving: make(map[string][]Upstream), byAddress: make(map[string]Upstream)}
+	present := make(map[string]*entry, len(d.entries)) // by address
 	for _, e := range d.entries {
+		if other := present[e.Address]; other == nil || d.supersedes(e, other) {
+			present[e.Address] = e
+		}
+	}
+	for _, e := range present {
 		x.all = append(x.all, e.Upstream)
 		x.byAddress[e.Address] = e.Upstream
 		if !e.Draining {
@@ -287,14 +327,29 @@
 	return x
 }
 
+// supersedes reports whether e rather than other is the upstream at their address: one whose service
+// the configuration names, then one that has not lapsed, then the one that started last.
+func (d *Directory) supersedes(e, other *entry) bool {
+	if named := d.serviceNamed(e); named != d.serviceNamed(other) {
+		return named
+	}
+	if e.lapsed != other.lapsed {
+		return other.lapsed
+	}
+	if e.Incarnation != other.Incarnation {
+		return e.Incarnation > other.Incarnation
+	}
+	return e.ID > other.ID
+}
+
 // At returns the upstream at an address, including a draining one, and whether there is one.
 func (d *Directory) At(address string) (Upstream, bool) {
 	u, ok := d.indexed().byAddress[address]
 	return u, ok
 }
 
-// All returns all upstreams, including draining and lapsed ones, in no particular order. The
-// caller must not change the slice.
+// All returns all upstreams, one for each address, including draining and lapsed ones, in no particular
+// order. The caller must not change the slice.
 func (d *Directory) All() []Upstream { return d.indexed().all }
 
 // Sample returns up to n upstreams, chosen at random from those at other addresses.
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -179,3 +179,52 @@
 		So(d.Serving("s"), ShouldHaveLength, 1)
 	})
 }
+
+// Guards against an entry of another writer that takes the place of an upstream at its address, before
+// and after the services are known.
+func TestEntryOfUnnamedService(t *testing.T) {
+	Convey("Given an upstream and a later entry at its address whose service is not named", t, func() {
+		d := New()
+		odd := Upstream{ID: "odd", Incarnation: 9, Service: "x", Address: "1:1"}
+		upstream := Upstream{ID: "u", Incarnation: 5, Service: "s", Address: "1:1"}
+		serves := func() {
+			So(d.Serving("s"), ShouldResemble, []Upstream{upstream})
+			at, _ := d.At("1:1")
+			So(at.ID, ShouldEqual, "u")
+			So(d.All(), ShouldHaveLength, 1)
+		}
+		Convey("the upstream serves in either order of the entries and of the services", func() {
+			for _, order := range [][]Upstream{{odd, upstream}, {upstream, odd}} {
+				for _, setAfter := range []int{0, 1, 2} {
+					d = New()
+					for i, u := range append(order, Upstream{}) {
+						if i == setAfter {
+							d.SetServices(map[string]bool{"s": true})
+						}
+						if i < len(order) {
+							So(d.Put(u), ShouldBeTrue)
+						}
+					}
+					serves()
+				}
+			}
+		})
+		Convey("the entry is used once its service is named, and the upstream has ended", func() {
+			d.SetServices(map[string]bool{"s": true})
+			d.Put(upstream)
+			d.Put(odd)
+			serves()
+			d.SetServices(map[string]bool{"s": true, "x": true})
+			So(d.Serving("s"), ShouldBeEmpty)
+			So(d.Serving("x"), ShouldResemble, []Upstream{odd})
+			So(d.Put(upstream), ShouldBeFalse)
+		})
+		Convey("its removal changes nothing for the upstream", func() {
+			d.SetServices(map[string]bool{"s": true})
+			d.Put(odd)
+			d.Put(upstream)
+			d.Remove(time.Unix(1, 0), "odd")
+			serves()
+		})
+	})
+}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -230,7 +230,8 @@
 		change, err := d.opts.Decoder.Decode(now, item)
 		if err != nil {
 			d.metrics.Count(metricUnreadableItems)
-			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), positionField(replica.Position{Era: at.Era, Revision: item.Revision}), errorField(err))
+			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), zap.Int("bytes", len(item.Value)),
+				positionField(replica.Position{Era: at.Era, Revision: item.Revision}), errorField(err))
 		}
 		d.change(now, change, StoredItem{Item: item, Era: at.Era}, source)
 	}
@@ -335,6 +336,7 @@
 	}
 	d.routes.Store(routing.NewTable(config))
 	d.config = &item
+	d.dir.SetServices(config.ServiceNames())
 	d.splitter.Prune(config)
 	d.metrics.Count(metricConfigs, "in_force")
 	d.log.Info(eventConfig, zap.Uint64("version", config.Version), zap.Int("routes", len(config.Routes)),
