loadshed: follow an outage of a service, and its end, within seconds

Change: a blocked share that is not updated falls to a half each 500 ms. Above a blocked share of 0.5 the level may rise up to three times as fast. Once a service has been unblocked for 500 ms its level falls twice as fast, then four times.

Less is served during the outage itself.

--- a/core/loadshed/gate.go
+++ b/core/loadshed/gate.go
@@ -14,6 +14,7 @@
 
 import (
 	"maps"
+	"math"
 	"sort"
 	"time"
 )
@@ -21,8 +22,7 @@
 const (
 	// meterWeight is the weight of one call in the blocked share, an exponential moving average.
 	meterWeight = 0.08
-	// meterHalfLife is the age at which a blocked share that was not updated counts half. At
-	// age a, it counts 1/(1 + a/meterHalfLife).
+	// meterHalfLife is the time in which a blocked share that is not updated falls to a half.
 	meterHalfLife = 500 * time.Millisecond
 	// blockedThreshold is the blocked share up to which nothing is shed. A request makes
 	// several calls, so that the share of failed requests is higher than this.
@@ -39,8 +39,16 @@
 	// must fall more slowly than they rise: a service that has just reached its capacity would
 	// otherwise be overloaded again.
 	raise, lower = 0.15, 0.04
-	// maxRaise bounds the rise of a level in one tick.
-	maxRaise = 0.03
+	// maxRaise bounds the rise of a level in one tick, up to a blocked share of severeShare. Above
+	// that, most of the work for admitted requests is wasted, as when all upstreams of a service
+	// are gone, and the bound grows by severeRaise for each unit of blocked share.
+	maxRaise, severeRaise = 0.03, 0.14
+	severeShare           = 0.5
+	// fastFallAfter is how long a service must have been unblocked for its level to fall faster:
+	// twice as fast for each such time, up to maxFallFactor. A service that is only at its
+	// capacity is blocked again sooner; one that was away is back with all of it.
+	fastFallAfter = 500 * time.Millisecond
+	maxFallFactor = 4
 	// minAdmittedShare is the share of each rank that is always admitted.
 	minAdmittedShare = 0.1
 )
@@ -61,7 +69,7 @@
 }
 
 func (e *estimate) now(now time.Time) float64 {
-	return e.value / (1 + float64(now.Sub(e.updatedAt))/float64(meterHalfLife))
+	return e.value * math.Exp2(-float64(now.Sub(e.updatedAt))/float64(meterHalfLife))
 }
 
 // NewMeter returns a meter that has recorded no calls.
@@ -130,6 +138,8 @@
 	// after TickInterval.
 	blocked    float64
 	reportedAt time.Time
+	// unblockedSince is when the share was first not above blockedThreshold, zero if it is.
+	unblockedSince time.Time
 	// lastReport holds when each service last reported this one blocked, and lastRequest when
 	// a new request of each rank last led to it.
 	lastReport  map[string]time.Time
@@ -191,6 +201,14 @@
 	return min(max(remaining, 0), 1-minAdmittedShare)
 }
 
+// fallFactor returns how much faster than by lower the level falls in a tick.
+func (b *blockedService) fallFactor(now time.Time) float64 {
+	if b.unblockedSince.IsZero() {
+		b.unblockedSince = now
+	}
+	return min(math.Exp2(math.Floor(float64(now.Sub(b.unblockedSince))/float64(fastFallAfter))), maxFallFactor)
+}
+
 // dropUnused drops the services and ranks that have not been seen for pathLife.
 func (b *blockedService) dropUnused(now time.Time) {
 	unused := func(last time.Time) bool { return now.Sub(last) > pathLife }
@@ -207,9 +225,10 @@
 			excess = b.blocked - blockedThreshold
 		}
 		if excess > 0 {
-			b.level += min(raise*excess, maxRaise)
+			b.level += min(raise*excess, maxRaise+severeRaise*max(b.blocked-severeShare, 0))
+			b.unblockedSince = time.Time{}
 		} else {
-			b.level -= lower
+			b.level -= lower * b.fallFactor(now)
 		}
 		b.level = min(b.level, float64(max(len(b.lastRequest), 1)))
 		if b.level <= 0 && now.Sub(b.reportedAt) > reportLife {
--- a/core/loadshed/gate_test.go
+++ b/core/loadshed/gate_test.go
@@ -60,6 +60,50 @@
 	})
 }
 
+// outage plays a service whose calls all fail for a time, at 100 requests a second of each of two ranks,
+// and returns how many of each rank were admitted while it lasted, and how long after its end nearly all
+// of both ranks were admitted.
+func outage(duration time.Duration) (admitted map[int]int, recovery time.Duration) {
+	random := rand.New(rand.NewPCG(5, 6))
+	gate, meter := NewGate(random.Float64), NewMeter()
+	start := time.Unix(1000, 0)
+	admitted = make(map[int]int)
+	for now := start; ; now = now.Add(TickInterval) {
+		away := now.Sub(start) < duration
+		total := 0
+		for range 10 {
+			for _, rank := range []int{0, 2} {
+				if gate.Admit(now, "entry", rank) != nil {
+					continue
+				}
+				total++
+				if away {
+					admitted[rank]++
+				}
+				meter.Count(now, "deep", away)
+			}
+		}
+		gate.Observe(now, "entry", meter.Shares(now))
+		gate.Tick(now)
+		if since := now.Sub(start) - duration; since >= 0 && total >= 19 || since > time.Minute {
+			return admitted, since
+		}
+	}
+}
+
+// Guards against work that is begun for requests whose calls all fail, and against refusing requests
+// long after the service that they need is back.
+func TestGateFollowsOutage(t *testing.T) {
+	Convey("While all upstreams of a service are away for 9 s, most requests of the less important rank are refused within a second", t, func() {
+		admitted, recovery := outage(9 * time.Second)
+		t.Logf("admitted during the outage: %v of 900 each; all admitted %s after it", admitted, recovery)
+		So(admitted[2], ShouldBeLessThan, 200)
+		Convey("and when it is back, both ranks are admitted within 4 s", func() {
+			So(recovery, ShouldBeLessThan, 4*time.Second)
+		})
+	})
+}
+
 // Guards against a blocked share that stays for ever when no calls are made any more.
 func TestMeterDecays(t *testing.T) {
 	Convey("A blocked share decays when no calls are recorded", t, func() {
