watchers: longer pauses between watches while changes keep coming

Cause: each watch that returns is a read of the store. The number grows with the square of the fleet, because more daemons see more entries.

Change: the pause after a watch with changes doubles from 100 ms up to 400 ms while changes keep coming, and is 100 ms again after a quiet time. The first change of a group is read at once as before.

--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -82,7 +82,7 @@
 	}
 	d.apply(reply.Update, "watcher "+source)
 	if reply.Config != nil && !d.applyConfig(reply.Config, "watcher "+source) {
-		d.pause(changeGroupPause) // the source replies at once while this daemon has an older one
+		d.pause(refusedConfigPause)
 	}
 	return true
 }
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -27,9 +27,9 @@
 	// daemon that missed them in its watch is notified by some daemon with a probability of
 	// 95%.
 	notifiedPeers = 3
-	// changeGroupPause is the pause after a watch that returned changes, because changes often
-	// come in groups.
-	changeGroupPause = 100 * time.Millisecond
+	// refusedConfigPause is the pause after a source sent a configuration that was refused here. It
+	// sends it again at once.
+	refusedConfigPause = 100 * time.Millisecond
 	// probeTime is the duration of a watch that only shows whether the store answers.
 	probeTime = time.Millisecond
 	// watchSlack is how long after the end of a watch its answer may still arrive.
@@ -64,6 +64,7 @@
 func (d *Daemon) storeLoop() {
 	// listed says that the latest successful read was a complete listing.
 	needList, listed, failures, following := true, false, 0, false
+	var pauses watchers.Pauses
 	for d.ctx.Err() == nil {
 		probe := failures > 0
 		if source := d.source(); source == "" {
@@ -86,7 +87,7 @@
 				d.notifyPeers()
 			}
 			if changes > 0 && !needList {
-				d.pause(changeGroupPause)
+				d.pause(pauses.Next(time.Now()))
 			}
 			listed, needList, failures = needList, false, 0
 			continue
