mesh: don't give up a run that may not be repeated because its VM is silent

Cause: a connection to a peer that received nothing for 1 s while calls were pending was closed, which ended all of them: a run that is not idempotent was answered 502 and cut at its upstream although the VM was only paused or slow and would have answered. A daemon that had been paused itself did the same to all its peers, because its first check came before it had read what had arrived.

Change: core/peerlink decides from the times of checks and of received bytes. A silent connection gets no further calls; calls that can be made elsewhere end as before, but a run that must not be repeated, and the rest of an answer under way, wait until their deadline, and the connection is closed after them. A given-up attempt is still cancelled at the peer.

--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -367,7 +367,7 @@
 			return err
 		}, cancelRun)
 		args := &RunArgs{ID: ask.ID, Left: time.Until(c.outgoing.Deadline), Payload: *c.payload()}
-		if reply, err = callLink[Reply](runCtx, link, "Run", args); err != nil {
+		if reply, err = callLinkPatiently[Reply](runCtx, link, "Run", args); err != nil {
 			stopSending()
 			link.cancel(ask.ID)
 			return Reply{}, nil, c.resultWithoutReply(ctx, true, err)
@@ -379,7 +379,7 @@
 		return reply, answer, 0
 	}
 	answer.more = func() (MoreReply, error) {
-		part, err := callLink[MoreReply](c.r.Context(), link, "More", &CallID{ID: ask.ID})
+		part, err := callLinkPatiently[MoreReply](c.r.Context(), link, "More", &CallID{ID: ask.ID})
 		if err != nil || part.Last {
 			stopSending()
 		}
@@ -408,7 +408,10 @@
 		defer cancel()
 	}
 	reply, err := callLink[Reply](ctx, link, "Ask", ask)
-	if err != nil && ctx.Err() != nil {
+	switch {
+	case errors.Is(err, errSilent):
+		c.daemon.workers.Go(func() { link.cancel(ask.ID) }) // writing to a silent peer may block
+	case err != nil && ctx.Err() != nil:
 		link.cancel(ask.ID)
 	}
 	return reply, err
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -10,25 +10,26 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+
+	"github.com/hawthornpoint/hawthornpoint/core/peerlink"
 )
 
 const (
 	// peerDialTimeout limits the time for opening a connection to another daemon. It covers
 	// several round trips inside a region, but not the retransmission of a lost first packet.
 	peerDialTimeout = 400 * time.Millisecond
-	// pingAfter is how long a connection with pending calls may receive nothing before it is
-	// tested with a ping, and peerTimeout how long before it is closed.
-	pingAfter   = 250 * time.Millisecond
+	// peerTimeout limits the time of one write to a peer.
 	peerTimeout = time.Second
 	// askTimeout limits the time for the reply to a request for a slot that may not be queued.
 	askTimeout = 500 * time.Millisecond
-	// peerIdleTimeout is how long a connection without calls is kept.
-	peerIdleTimeout = time.Minute
 )
 
 // errUnreachable is returned when nothing was sent to the peer.
 var errUnreachable = errors.New("the peer is unreachable")
 
+// errSilent is returned when the peer has stopped responding. It may still have the call.
+var errSilent = errors.New("the peer is silent")
+
 // peer is the connection to another daemon. It is safe for concurrent use.
 type peer struct {
 	daemon  *Daemon
@@ -45,7 +46,13 @@
 	epoch        time.Time
 	lastReceived atomic.Int64 // time of the latest received bytes, in ns after epoch
 	pending      atomic.Int64 // number of pending calls
-	broken       atomic.Bool
+	// broken says that no further calls are made on the connection: it has ended or is silent.
+	broken atomic.Bool
+	// silent is closed when the peer has stopped responding. Calls that are not patient then end.
+	silent chan struct{}
+	// ended says that the connection has ended.
+	ended   atomic.Bool
+	pinging bool // a ping has not been answered; used by watch only
 }
 
 // notifyConn calls onReceive when bytes arrive, and onEnd when the connection ends. It does so
@@ -133,52 +140,75 @@
 	if err != nil {
 		return nil, err
 	}
-	link := &peerLink{epoch: d.started}
+	link := &peerLink{epoch: d.started, silent: make(chan struct{})}
 	link.markReceived()
-	link.client = rpc.NewClient(&notifyConn{Conn: c, onReceive: link.markReceived, onEnd: func() { link.broken.Store(true) }})
+	link.client = rpc.NewClient(&notifyConn{Conn: c, onReceive: link.markReceived, onEnd: link.markEnded})
 	d.workers.Go(func() { p.watch(link) })
 	return link, nil
 }
 
-// watch closes a connection that has failed, does not respond or is not used.
+// watch closes a connection that has failed or is not used, and one that does not respond as soon as
+// no patient call waits on it.
 func (p *peer) watch(link *peerLink) {
-	ticker := time.NewTicker(pingAfter)
+	ticker := time.NewTicker(peerlink.CheckInterval)
 	defer ticker.Stop()
-	d := p.daemon
-	pinging := make(chan struct{}, 1)
+	defer link.close()
+	var monitor peerlink.Monitor
+	d, silent := p.daemon, false
+	pinging := make(chan *rpc.Call, 1)
 	for {
 		select {
 		case <-d.ctx.Done():
-			link.close()
 			return
 		case <-ticker.C:
 		}
-		sinceReceived := time.Since(link.epoch) - time.Duration(link.lastReceived.Load())
-		switch pending := link.pending.Load(); {
-		case link.broken.Load():
-			link.close()
-			return
-		case pending == 0 && sinceReceived > peerIdleTimeout:
-			link.close()
+		pending := link.pending.Load()
+		if link.broken.Load() && (!silent || pending == 0 || link.ended.Load()) {
 			return
-		case pending > 0 && sinceReceived > peerTimeout:
-			d.log.Warn(eventPeerSilent, zap.String("peer", p.address), zap.Duration("silent", sinceReceived), zap.Int64("calls", pending))
-			link.close()
+		}
+		switch received := link.received(); monitor.Check(time.Now(), received, pending) {
+		case peerlink.Idle:
 			return
-		case pending > 0 && sinceReceived > pingAfter:
-			select {
-			case pinging <- struct{}{}:
-				link.client.Go(peerService+".Ping", &PingArgs{}, &PingReply{}, make(chan *rpc.Call, 1))
-			default:
+		case peerlink.Silent:
+			if !silent {
+				silent = true
+				d.log.Warn(eventPeerSilent, zap.String("peer", p.address), zap.Duration("silent", time.Since(received)), zap.Int64("calls", pending))
+				link.markSilent()
 			}
-		}
-		select {
-		case <-pinging:
-		default:
+		case peerlink.Ping:
+			link.ping(pinging)
 		}
 	}
 }
 
+// ping tests the connection, unless a ping has not been answered.
+func (l *peerLink) ping(answered chan *rpc.Call) {
+	if !l.pinging {
+		l.pinging = true
+		l.client.Go(peerService+".Ping", &PingArgs{}, &PingReply{}, answered)
+		return
+	}
+	select {
+	case <-answered:
+		l.pinging = false
+	default:
+	}
+}
+
+// markSilent ends the calls that are not patient, and keeps further ones from being made.
+func (l *peerLink) markSilent() {
+	l.broken.Store(true)
+	close(l.silent)
+}
+
+// received returns when bytes were received, or began to be waited for, most recently.
+func (l *peerLink) received() time.Time { return l.epoch.Add(time.Duration(l.lastReceived.Load())) }
+
+func (l *peerLink) markEnded() {
+	l.broken.Store(true)
+	l.ended.Store(true)
+}
+
 func (l *peerLink) markReceived() { l.lastReceived.Store(int64(time.Since(l.epoch))) }
 
 func (l *peerLink) close() {
@@ -203,7 +233,17 @@
 		l.markReceived() // the time without received bytes counts from the first pending call
 	}
 	defer l.pending.Add(-1)
-	return invokeLink[T](ctx, l, method, args)
+	return invokeLink[T](ctx, l, l.silent, method, args)
+}
+
+// callLinkPatiently is callLink for a call that must not be made again elsewhere. It waits for the reply
+// of a peer that is silent until ctx ends: the peer may only be paused or slow.
+func callLinkPatiently[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
+	if l.pending.Add(1) == 1 {
+		l.markReceived()
+	}
+	defer l.pending.Add(-1)
+	return invokeLink[T](ctx, l, nil, method, args)
 }
 
 // longPollLink is callLink for a call whose reply may take long. The call does not count as
@@ -216,7 +256,7 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		r, err := invokeLink[T](ctx, l, method, args)
+		r, err := invokeLink[T](ctx, l, l.silent, method, args)
 		done <- result{r, err}
 	}()
 	select {
@@ -228,8 +268,9 @@
 	}
 }
 
-// invokeLink calls a method on a connection without counting the call as pending.
-func invokeLink[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
+// invokeLink calls a method on a connection without counting the call as pending. It returns errSilent
+// when giveUp is closed.
+func invokeLink[T any](ctx context.Context, l *peerLink, giveUp <-chan struct{}, method string, args any) (T, error) {
 	var zero T
 	if l.broken.Load() {
 		return zero, errUnreachable
@@ -245,14 +286,16 @@
 			return zero, errors.Wrap(call.Error, method)
 		}
 		return *reply, nil
+	case <-giveUp:
+		return zero, errors.Wrap(errSilent, method)
 	case <-ctx.Done():
 		return zero, ctx.Err()
 	}
 }
 
-// cancel informs the peer that an attempt has ended. The reply is ignored.
+// cancel informs the peer that an attempt has ended, also one that is silent. The reply is ignored.
 func (l *peerLink) cancel(id uint64) {
-	if !l.broken.Load() {
+	if !l.ended.Load() {
 		l.client.Go(peerService+".Cancel", &CallID{ID: id}, &PingReply{}, make(chan *rpc.Call, 1))
 	}
 }
