mesh: a panic in the decoding of an item of the store ends no process

Cause: panics of requests, peers' calls and connections end only those, but a panic of the decoder ended the process, which then read the same item again. Change: it counts as an error of that item, with the stack in the log. Test: TestPanicOfDecoder, which ended the test process before.

--- a/mesh/panics.go
+++ b/mesh/panics.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+
+	"github.com/hawthornpoint/hawthornpoint/core/replica"
 )
 
 // maxStackBytes bounds the stack in the log line of a panic.
@@ -27,6 +29,9 @@
 	panicExchange   = "exchange"
 )
 
+// panicItem is the part in which a panic ends only the decoding of one item of the store.
+const panicItem = "item"
+
 // stateMutex is a mutex that notes a panic of a critical section that unlocks it with defer. The
 // state that it guards may then be half changed.
 type stateMutex struct {
@@ -101,6 +106,18 @@
 	*err = errPanicked
 }
 
+// decode decodes an item of the store. A panic is an error: the item may be read again after each start,
+// so that the process would end again and again.
+func (d *Daemon) decode(now time.Time, item replica.Item) (change Change, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			d.logPanic(panicItem, item.Key, v)
+			change, err = Change{}, errPanicked
+		}
+	}()
+	return d.opts.Decoder.Decode(now, item)
+}
+
 func (d *Daemon) logPanic(where, id string, v any) {
 	stack := debug.Stack()
 	d.metrics.Count(metricPanics, where)
--- a/mesh/panics_test.go
+++ b/mesh/panics_test.go
@@ -88,3 +88,24 @@
 		})
 	})
 }
+
+// panickingDecoder panics on the item "odd" and decodes others as pausingDecoder does.
+type panickingDecoder struct{ pausingDecoder }
+
+func (p panickingDecoder) Decode(now time.Time, item replica.Item) (Change, error) {
+	if item.Key == "odd" {
+		panic("in Decode")
+	}
+	return p.pausingDecoder.Decode(now, item)
+}
+
+// Guards against an item of the store that ends the process whenever it is read.
+func TestPanicOfDecoder(t *testing.T) {
+	Convey("An item whose decoding panics does not keep the others of an update out of force", t, func() {
+		d := New(Options{HeaderConvention: conventionStub{}, Decoder: panickingDecoder{}})
+		items := []replica.Item{{Key: "odd", Revision: 1}, {Key: "u", Revision: 2}}
+		So(d.apply(replica.Update{Items: items, At: replica.Position{Era: 1, Revision: 2}}, "store"), ShouldEqual, 2)
+		So(d.Upstreams(), ShouldEqual, 1)
+		So(d.applyConfig(&StoredItem{Item: items[0], Era: 1}, "peer"), ShouldBeFalse)
+	})
+}
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	now := time.Now()
-	change, err := d.opts.Decoder.Decode(now, config.Item)
+	change, err := d.decode(now, config.Item)
 	if err != nil {
 		d.metrics.Count(metricUnreadableItems)
 		d.log.Warn(eventUnreadableItem, zap.String("key", config.Item.Key), positionField(config.position()), zap.String("source", source), errorField(err))
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -228,7 +228,7 @@
 			zap.Int64("previous_revision", previous.Revision), zap.Int("changes", len(changed)), zap.String("source", source))
 	}
 	for _, item := range changed {
-		change, err := d.opts.Decoder.Decode(now, item)
+		change, err := d.decode(now, item)
 		if err != nil {
 			d.metrics.Count(metricUnreadableItems)
 			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), zap.Int("bytes", len(item.Value)),
