dispatch: charge retries after a misdirected request, and stop sending them

Cause: an upstream that has replaced another at its address answers 421 to requests for that one and counts them as arrivals. The dispatcher took them for unsent and asked further upstreams without the retry budget.

Change: the attempt after a 421 is a retry; the daemon beside the upstream refuses requests for an ID that was answered 421 itself, but one in 3 s.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -350,12 +350,15 @@
 			return d.refuse(req, resultcode.Shed, req.minWait, "wait_too_long")
 		}
 		return d.Next(now, req)
-	case Leaving, NoReply, WrongUpstream:
+	case Leaving, NoReply:
 		d.exclude(req)
 		if !report.Retryable {
 			return d.refuse(req, resultcode.BackendRefused, 0, bodySpent)
 		}
 		return d.Next(now, req)
+	case WrongUpstream:
+		d.exclude(req)
+		return d.afterMisdirection(now, req, report)
 	case Quarantined:
 		return d.refuseQuarantined(req, report.Wait)
 	case Unsent:
@@ -451,6 +454,22 @@
 	return Step{Code: resultcode.AttemptLost, Reason: reason}
 }
 
+// afterMisdirection decides what follows an attempt that reached another upstream at the address. That
+// one counts it as an arrival, so that the next one is a retry.
+func (d *Dispatcher) afterMisdirection(now time.Time, req *OutgoingRequest, report Report) Step {
+	switch {
+	case !report.Retryable:
+		return d.refuse(req, resultcode.BackendRefused, 0, bodySpent)
+	case !d.budget(req.Service).Available(now):
+		return d.refuse(req, resultcode.NoUpstream, noUpstreamRetryAfter, "budget_spent")
+	}
+	step := d.Next(now, req)
+	if step.Code == 0 {
+		d.budget(req.Service).Charge(now, 1)
+	}
+	return step
+}
+
 // mayRetry returns the name of the deciding input, and whether the request may be sent again.
 func (d *Dispatcher) mayRetry(now time.Time, req *OutgoingRequest, report Report) (string, bool) {
 	left := req.Deadline.Sub(now)
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -123,6 +123,9 @@
 	if d.stopping || a.withdrawn || known && local.ID == args.Instance && local.Draining {
 		return slots.Decision{Reason: slots.Closed}, OutcomeLeaving
 	}
+	if d.isReplaced(now, args.Instance) {
+		return slots.Decision{Reason: "other_instance"}, OutcomeLeaving
+	}
 	d.mergeReports(now, args.Reports)
 	verdict := d.crashes.Check(now, args.Fingerprint)
 	if verdict == quarantine.Refuse {
--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -11,18 +11,55 @@
 // recordStatements records what an answer states about the backend server. sent is when its
 // request was sent.
 func (d *Daemon) recordStatements(a *localAttempt, head AnswerHead, sent time.Time) {
-	if head.WrongUpstream {
-		return
-	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if head.WrongUpstream {
+		d.markReplaced(now, a)
+		return
+	}
+	if a.instance == d.replaced.instance {
+		d.replaced = replacedUpstream{}
+	}
 	d.recordRate(now, a, head, sent)
 	if local, _ := d.dir.At(d.settings.BackendAddress); head.Leaving && local.ID == a.instance {
 		d.markLeaving(local, a.requestID, "answer")
 	}
 }
 
+// replacedRecheck is how long the daemon refuses requests for an upstream that another one has replaced
+// before it lets one through again. Each costs an arrival at the present upstream.
+const replacedRecheck = 3 * time.Second
+
+// replacedUpstream is an upstream that was at the address of the local backend server before the present
+// one. The store lists it until it hears of the present one, which takes as long as an outage.
+type replacedUpstream struct {
+	instance string
+	recheck  time.Time
+}
+
+// markReplaced records that the backend server is not the upstream for which a request was meant. d.mu
+// is held.
+func (d *Daemon) markReplaced(now time.Time, a *localAttempt) {
+	if d.replaced.instance != a.instance {
+		d.log.Info(eventUpstreamReplaced, zap.String("id", a.requestID), zap.String("upstream", a.instance))
+	}
+	d.replaced = replacedUpstream{instance: a.instance, recheck: now.Add(replacedRecheck)}
+}
+
+// isReplaced reports whether requests for an upstream are refused because another one has replaced it.
+// One request in each replacedRecheck is not. d.mu is held.
+func (d *Daemon) isReplaced(now time.Time, instance string) bool {
+	if instance == "" || instance != d.replaced.instance {
+		return false
+	}
+	if now.Before(d.replaced.recheck) {
+		return true
+	}
+	d.replaced.recheck = now.Add(replacedRecheck)
+	return false
+}
+
 // markLeaving records that an upstream takes no new requests, and refuses those that wait for it
 // here. id is that of the request that showed it, and source where. d.mu is held.
 func (d *Daemon) markLeaving(u directory.Upstream, id, source string) {
