Listeners go on after a failed attempt to accept a connection

Cause: the loops that accept callers, peers and control exchanges ended with any error but the end of the listener. One accept that fails for want of descriptors or memory left a daemon that took no new callers, or no peers, for good, while its health check on another port passed.

--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -133,9 +133,7 @@
 		return err
 	}
 	d.workers.Go(func() {
-		if err := d.exchange.Serve(); err != nil {
-			d.log.Error("control exchange failed", zap.Error(err))
-		}
+		d.exchange.Serve(func(err error) { d.log.Error("control exchange does not accept connections", zap.Error(err)) })
 	})
 	return nil
 }
--- a/exchange/faults_test.go
+++ b/exchange/faults_test.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = s.Serve() }()
+	go s.Serve(func(error) {})
 	t.Cleanup(func() { _ = s.Close() })
 	return l.Addr().String()
 }
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -58,7 +58,7 @@
 		if e.server, err = NewServer(l, e); err != nil {
 			t.Fatal(err)
 		}
-		go func() { _ = e.server.Serve() }()
+		go e.server.Serve(func(error) {})
 		f.endpoints, f.list = append(f.endpoints, e), append(f.list, self)
 	}
 	return f
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/config"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
+	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 )
 
 const (
@@ -103,20 +104,13 @@
 	}, nil
 }
 
-// Serve accepts connections until Close is called, and then returns nil. It returns any
-// other error of the listener.
-func (s *Server) Serve() error {
-	for {
-		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "exchange: accept")
-		}
+// Serve accepts connections until Close is called. acceptFailed is called for the first of a series of
+// failed attempts to accept one.
+func (s *Server) Serve(acceptFailed func(error)) {
+	acceptloop.Run(s.listener, func(conn net.Conn) {
 		s.track(conn, true)
 		go s.serveConn(conn)
-	}
+	}, acceptFailed)
 }
 
 func (s *Server) serveConn(conn net.Conn) {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 )
 
 const (
@@ -63,19 +65,10 @@
 	handlers sync.WaitGroup
 }
 
-// Serve accepts connections until the listener is closed, and then returns nil. Any other
-// error of the listener is returned.
-func (s *Server) Serve(l net.Listener) error {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return err
-		}
-		s.startConn(c)
-	}
+// Serve accepts connections until the listener is closed. acceptFailed is called for the first of a
+// series of failed attempts to accept one.
+func (s *Server) Serve(l net.Listener, acceptFailed func(error)) {
+	acceptloop.Run(l, s.startConn, acceptFailed)
 }
 
 func (s *Server) startConn(netConn net.Conn) {
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -60,7 +60,7 @@
 		t.Fatal(err)
 	}
 	s = &Server{Handler: h, Limits: func() Limits { return limits }, Reject: func(net.Addr, int, error) {}}
-	go func() { _ = s.Serve(l) }()
+	go s.Serve(l, func(error) {})
 	t.Cleanup(func() {
 		_ = l.Close()
 		s.Close()
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -87,7 +87,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		s := &Server{Handler: &recorder{}, Limits: func() Limits { return Limits{IdleTimeout: time.Second} }, Reject: func(net.Addr, int, error) {}}
-		go func() { _ = s.Serve(hookListener{l, func() { s.Drain(time.Now()) }}) }()
+		go s.Serve(hookListener{l, func() { s.Drain(time.Now()) }}, func(error) {})
 		defer s.Close()
 		defer l.Close()
 		s.Stop()
@@ -109,7 +109,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		s := &Server{Handler: handler, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
-		go func() { _ = s.Serve(l) }()
+		go s.Serve(l, func(error) {})
 		s.Stop()
 		c, err := net.Dial("tcp", l.Addr().String())
 		So(err, ShouldBeNil)
@@ -157,7 +157,7 @@
 		h := &recorder{}
 		s := &Server{Handler: h, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
 		l := queueListener{conns: make(chan net.Conn)}
-		go func() { _ = s.Serve(l) }()
+		go s.Serve(l, func(error) {})
 		defer close(l.conns)
 		s.Close()
 		caller, accepted := net.Pipe()
@@ -183,7 +183,7 @@
 			_, _ = io.WriteString(w, "second")
 		})}
 		s.Stop()
-		go func() { _ = s.Serve(l) }()
+		go s.Serve(l, func(error) {})
 		defer s.Close()
 		c, err := net.Dial("tcp", l.Addr().String())
 		So(err, ShouldBeNil)
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -282,14 +282,17 @@
 		d.log.Info(eventNotParsed, zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
 	}
 	d.callers.Panicked = func(v any) { d.logPanic(panicConnection, "", v) }
-	d.workers.Go(func() {
-		if err := d.callers.Serve(l); err != nil {
-			d.log.Error(eventListenerFailed, zap.String("address", d.settings.CallerAddress), errorField(err))
-		}
-	})
+	d.workers.Go(func() { d.callers.Serve(l, d.acceptFailed(d.settings.CallerAddress)) })
 	return nil
 }
 
+// acceptFailed returns a function that logs that connections can't be accepted at an address.
+func (d *Daemon) acceptFailed(address string) func(error) {
+	return func(err error) {
+		d.log.Error(eventListenerFailed, zap.String("address", address), errorField(err))
+	}
+}
+
 // callerLimits returns the limits for requests of callers that are in force.
 func (d *Daemon) callerLimits() pipeline.Limits {
 	limits := pipeline.Limits{HeaderBytes: maxHeaderBytes, BodyTimeout: bodyStartTimeout}
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 )
 
 // peerService is the name of the net/rpc service through which daemons call each other.
@@ -33,16 +35,7 @@
 
 // servePeers accepts connections of other daemons until the listener closes.
 func (d *Daemon) servePeers(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if d.ctx.Err() == nil {
-				d.log.Error("peer listener failed", errorField(err))
-			}
-			return
-		}
-		d.workers.Go(func() { d.servePeer(c) })
-	}
+	acceptloop.Run(l, func(c net.Conn) { d.workers.Go(func() { d.servePeer(c) }) }, d.acceptFailed(l.Addr().String()))
 }
 
 func (d *Daemon) servePeer(c net.Conn) {
