mesh: recognise a request that crashes upstreams by its whole target again

Cause of the change: without the query, each answered request of the same path clears the suspicion, so that a request that crashes upstreams by its query is never contained where others of its path are answered; and where none is answered, harmless ones are refused with it for 10 minutes.

--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -53,7 +52,7 @@
 	step       dispatch.Step   // the step that led to the latest attempt
 	lastReport dispatch.Report // the outcome of the latest attempt
 	body       []byte          // the first part of the body
-	// fingerprint is equal for requests of this VM's service with equal method, host, path and body.
+	// fingerprint is equal for requests of this VM's service with equal method, host, target and body.
 	fingerprint uint64
 	more        bool // rest holds the rest of the body
 	rest        bodyRest
@@ -93,8 +92,7 @@
 	if c.more {
 		length = strconv.FormatInt(c.r.ContentLength, 10) // bodies that begin alike are not equal
 	}
-	path, _, _ := strings.Cut(c.target(), "?") // the query may change when the request is sent again
-	c.fingerprint = callmeta.Fingerprint(c.body, d.settings.Service, c.r.Method, c.r.Host, path, length)
+	c.fingerprint = callmeta.Fingerprint(c.body, d.settings.Service, c.r.Method, c.r.Host, c.target(), length)
 	return 0
 }
 
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -35,7 +35,7 @@
 	instance  string
 	kind      string
 	origin    string // the service of the VM that sent the request
-	// fingerprint is equal for requests of one service with equal method, host, path and body.
+	// fingerprint is equal for requests of one service with equal method, host, target and body.
 	fingerprint uint64
 	deadline    time.Time // of the run, zero before it starts
 	isRetry     bool
