pipeline: notice that a caller has left during the last request of its connection

Cause: after a request with `Connection: close` the reader of the connection waited for the response without reading, so that the end of the connection showed only when the response was written: the run went on for nobody, up to its deadline.

Change: what the caller sends after its last request is read and discarded while the request is handled, and the end of the connection cancels it, as between requests.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -435,6 +435,22 @@
 	w.finish()
 }
 
+// awaitEnd waits until the last exchange has ended. Meanwhile it discards what the caller sends, so that
+// the end of the connection is noticed, which cancels the request.
+func (c *conn) awaitEnd(last *exchange) {
+	_ = c.netConn.SetReadDeadline(time.Time{})
+	interrupted := make(chan struct{})
+	go func() {
+		defer close(interrupted)
+		<-last.done
+		_ = c.netConn.SetReadDeadline(time.Now())
+	}()
+	if _, err := io.Copy(io.Discard, c.netConn); !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.cancel(nil)
+	}
+	<-interrupted
+}
+
 // linger waits for the last response, closes the sending direction and discards what the
 // caller sends until lingerTime after that response.
 func (c *conn) linger() {
@@ -442,7 +458,7 @@
 	latest := c.latest
 	c.mu.Unlock()
 	if latest != nil {
-		<-latest.done
+		c.awaitEnd(latest)
 	}
 	if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
 		_ = tcp.CloseWrite()
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -249,3 +249,47 @@
 		So(h.canceled, ShouldEqual, 3)
 	})
 }
+
+// Guards against work that goes on for a caller that has left, although it sent its last request on the
+// connection.
+func TestCallerLeavesAfterLastRequest(t *testing.T) {
+	Convey("The end of a connection cancels its last request", t, func() {
+		h := &recorder{delay: 5 * time.Second}
+		address, _ := startServer(t, h, Limits{IdleTimeout: time.Second})
+		c, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		So(err, ShouldBeNil)
+		for end := time.Now().Add(time.Second); len(h.list()) == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		So(c.Close(), ShouldBeNil)
+		canceled := func() int {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.canceled
+		}
+		for end := time.Now().Add(500 * time.Millisecond); canceled() == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		So(canceled(), ShouldEqual, 1)
+	})
+	Convey("Bytes that follow the last request are discarded, and it is answered", t, func() {
+		h := &recorder{delay: 100 * time.Millisecond}
+		address, _ := startServer(t, h, Limits{IdleTimeout: time.Second})
+		c, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		So(err, ShouldBeNil)
+		time.Sleep(20 * time.Millisecond)
+		_, err = io.WriteString(c, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(err, ShouldBeNil)
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		So(err, ShouldBeNil)
+		body, err := io.ReadAll(r.Body)
+		So(err, ShouldBeNil)
+		So(string(body), ShouldEqual, "/a ")
+		So(h.list(), ShouldHaveLength, 1)
+	})
+}
