--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -42,7 +42,7 @@
 // is held.
 func (d *Daemon) markReplaced(now time.Time, a *localAttempt) {
 	if d.replaced.instance != a.instance {
-		d.log.Info(eventUpstreamReplaced, zap.String("id", a.requestID), zap.String("upstream", a.instance))
+		d.log.Info(eventReplaced, zap.String("id", a.requestID), zap.String("upstream", a.instance))
 	}
 	d.replaced = replacedUpstream{instance: a.instance, recheck: now.Add(replacedRecheck)}
 }
