--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -185,7 +185,7 @@
 func TestEntryOfUnnamedService(t *testing.T) {
 	Convey("Given an upstream and a later entry at its address whose service is not named", t, func() {
 		d := New()
-		odd := Upstream{ID: "odd", Incarnation: 9, Service: "x", Address: "1:1"}
+		foreign := Upstream{ID: "invalid", Incarnation: 9, Service: "x", Address: "1:1"}
 		upstream := Upstream{ID: "u", Incarnation: 5, Service: "s", Address: "1:1"}
 		serves := func() {
 			So(d.Serving("s"), ShouldResemble, []Upstream{upstream})
@@ -194,7 +194,7 @@
 			So(d.All(), ShouldHaveLength, 1)
 		}
 		Convey("the upstream serves in either order of the entries and of the services", func() {
-			for _, order := range [][]Upstream{{odd, upstream}, {upstream, odd}} {
+			for _, order := range [][]Upstream{{foreign, upstream}, {upstream, foreign}} {
 				for _, setAfter := range []int{0, 1, 2} {
 					d = New()
 					for i, u := range append(order, Upstream{}) {
@@ -212,18 +212,18 @@
 		Convey("the entry is used once its service is named, and the upstream has ended", func() {
 			d.SetServices(map[string]bool{"s": true})
 			d.Put(upstream)
-			d.Put(odd)
+			d.Put(foreign)
 			serves()
 			d.SetServices(map[string]bool{"s": true, "x": true})
 			So(d.Serving("s"), ShouldBeEmpty)
-			So(d.Serving("x"), ShouldResemble, []Upstream{odd})
+			So(d.Serving("x"), ShouldResemble, []Upstream{foreign})
 			So(d.Put(upstream), ShouldBeFalse)
 		})
 		Convey("its removal changes nothing for the upstream", func() {
 			d.SetServices(map[string]bool{"s": true})
-			d.Put(odd)
+			d.Put(foreign)
 			d.Put(upstream)
-			d.Remove(time.Unix(1, 0), "odd")
+			d.Remove(time.Unix(1, 0), "invalid")
 			serves()
 		})
 	})
--- a/mesh/panics_test.go
+++ b/mesh/panics_test.go
@@ -89,11 +89,11 @@
 	})
 }
 
-// panickingDecoder panics on the item "odd" and decodes others as pausingDecoder does.
+// panickingDecoder panics on the item "invalid" and decodes others as pausingDecoder does.
 type panickingDecoder struct{ pausingDecoder }
 
 func (p panickingDecoder) Decode(now time.Time, item replica.Item) (Change, error) {
-	if item.Key == "odd" {
+	if item.Key == "invalid" {
 		panic("in Decode")
 	}
 	return p.pausingDecoder.Decode(now, item)
@@ -103,7 +103,7 @@
 func TestPanicOfDecoder(t *testing.T) {
 	Convey("An item whose decoding panics does not keep the others of an update out of force", t, func() {
 		d := New(Options{HeaderConvention: conventionStub{}, Decoder: panickingDecoder{}})
-		items := []replica.Item{{Key: "odd", Revision: 1}, {Key: "u", Revision: 2}}
+		items := []replica.Item{{Key: "invalid", Revision: 1}, {Key: "u", Revision: 2}}
 		So(d.apply(replica.Update{Items: items, At: replica.Position{Era: 1, Revision: 2}}, "store"), ShouldEqual, 2)
 		So(d.Upstreams(), ShouldEqual, 1)
 		So(d.applyConfig(&StoredItem{Item: items[0], Era: 1}, "peer"), ShouldBeFalse)
