mesh: one misdirected request does not show that an upstream was replaced

Cause: after one 421 the daemon refused all requests for that upstream for 3 s. A faulty upstream may write an earlier refusal once more, so that a single 421 proves nothing.

--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -27,6 +27,10 @@
 	}
 }
 
+// minMisdirected is the number of successive requests that must be misdirected for an upstream to count
+// as replaced: a faulty one may write an earlier refusal once more.
+const minMisdirected = 2
+
 // replacedRecheck is how long the daemon refuses requests for an upstream that another one has replaced
 // before it lets one through again. Each costs an arrival at the present upstream.
 const replacedRecheck = 3 * time.Second
@@ -34,23 +38,28 @@
 // replacedUpstream is an upstream that was at the address of the local backend server before the present
 // one. The store lists it until it hears of the present one, which takes as long as an outage.
 type replacedUpstream struct {
-	instance string
-	recheck  time.Time
+	instance    string
+	misdirected int // successive requests for it that were misdirected
+	recheck     time.Time
 }
 
 // markReplaced records that the backend server is not the upstream for which a request was meant. d.mu
 // is held.
 func (d *Daemon) markReplaced(now time.Time, a *localAttempt) {
 	if d.replaced.instance != a.instance {
+		d.replaced = replacedUpstream{instance: a.instance}
+	}
+	d.replaced.misdirected++
+	d.replaced.recheck = now.Add(replacedRecheck)
+	if d.replaced.misdirected == minMisdirected {
 		d.log.Info(eventReplaced, zap.String("id", a.requestID), zap.String("upstream", a.instance))
 	}
-	d.replaced = replacedUpstream{instance: a.instance, recheck: now.Add(replacedRecheck)}
 }
 
 // isReplaced reports whether requests for an upstream are refused because another one has replaced it.
 // One request in each replacedRecheck is not. d.mu is held.
 func (d *Daemon) isReplaced(now time.Time, instance string) bool {
-	if instance == "" || instance != d.replaced.instance {
+	if instance == "" || instance != d.replaced.instance || d.replaced.misdirected < minMisdirected {
 		return false
 	}
 	if now.Before(d.replaced.recheck) {
