mesh: go on with a run over a connection that counts as silent

Cause: the wait for a silent VM covered only the call that started a run. Found by reading the change once more.

Change: all calls about a run (Run, Chunk, More) are made on its connection until that has ended.

--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -361,11 +361,11 @@
 		runCtx, cancelRun := context.WithCancel(ctx)
 		defer cancelRun()
 		c.sendRest(sendCtx, func(data []byte, last bool) error {
-			_, err := callLink[PingReply](sendCtx, link, "Chunk", &ChunkArgs{ID: ask.ID, Data: data, Last: last})
+			_, err := callRun[PingReply](sendCtx, link, "Chunk", &ChunkArgs{ID: ask.ID, Data: data, Last: last})
 			return err
 		}, cancelRun)
 		args := &RunArgs{ID: ask.ID, Left: time.Until(c.outgoing.Deadline), Payload: *c.payload()}
-		if reply, err = callLinkPatiently[Reply](runCtx, link, "Run", args); err != nil {
+		if reply, err = callRun[Reply](runCtx, link, "Run", args); err != nil {
 			stopSending()
 			link.cancel(ask.ID)
 			return Reply{}, nil, c.resultWithoutReply(ctx, true, err)
@@ -377,7 +377,7 @@
 		return reply, answer, 0
 	}
 	answer.more = func() (MoreReply, error) {
-		part, err := callLinkPatiently[MoreReply](c.r.Context(), link, "More", &CallID{ID: ask.ID})
+		part, err := callRun[MoreReply](c.r.Context(), link, "More", &CallID{ID: ask.ID})
 		if err != nil || part.Last {
 			stopSending()
 		}
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -48,7 +48,7 @@
 	pending      atomic.Int64 // number of pending calls
 	// broken says that no further calls are made on the connection: it has ended or is silent.
 	broken atomic.Bool
-	// silent is closed when the peer has stopped responding. Calls that are not patient then end.
+	// silent is closed when the peer has stopped responding. Calls that can be made elsewhere then end.
 	silent chan struct{}
 	// ended says that the connection has ended.
 	ended   atomic.Bool
@@ -148,7 +148,7 @@
 }
 
 // watch closes a connection that has failed or is not used, and one that does not respond as soon as
-// no patient call waits on it.
+// no call waits on it.
 func (p *peer) watch(link *peerLink) {
 	ticker := time.NewTicker(peerlink.CheckInterval)
 	defer ticker.Stop()
@@ -195,7 +195,7 @@
 	}
 }
 
-// markSilent ends the calls that are not patient, and keeps further ones from being made.
+// markSilent ends the calls that can be made elsewhere, and keeps further ones from being made.
 func (l *peerLink) markSilent() {
 	l.broken.Store(true)
 	close(l.silent)
@@ -229,21 +229,28 @@
 // callLink calls a method on a connection. It returns a copy of the reply, because net/rpc
 // still writes to a reply that arrives after ctx has ended.
 func callLink[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
-	if l.pending.Add(1) == 1 {
-		l.markReceived() // the time without received bytes counts from the first pending call
+	defer l.beginCall()()
+	return invokeUnlessBroken[T](ctx, l, method, args)
+}
+
+// callRun is callLink for a call about a run that can't be made elsewhere. It waits for the reply of a
+// peer that is silent until ctx ends: the peer may only be paused or slow.
+func callRun[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
+	defer l.beginCall()()
+	if l.ended.Load() {
+		var zero T
+		return zero, errUnreachable
 	}
-	defer l.pending.Add(-1)
-	return invokeLink[T](ctx, l, l.silent, method, args)
+	return invokeLink[T](ctx, l, nil, method, args)
 }
 
-// callLinkPatiently is callLink for a call that must not be made again elsewhere. It waits for the reply
-// of a peer that is silent until ctx ends: the peer may only be paused or slow.
-func callLinkPatiently[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
+// beginCall counts a pending call and returns the function that ends it. The time without received bytes
+// counts from the first pending call.
+func (l *peerLink) beginCall() (end func()) {
 	if l.pending.Add(1) == 1 {
 		l.markReceived()
 	}
-	defer l.pending.Add(-1)
-	return invokeLink[T](ctx, l, nil, method, args)
+	return func() { l.pending.Add(-1) }
 }
 
 // longPollLink is callLink for a call whose reply may take long. The call does not count as
@@ -256,7 +263,7 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		r, err := invokeLink[T](ctx, l, l.silent, method, args)
+		r, err := invokeUnlessBroken[T](ctx, l, method, args)
 		done <- result{r, err}
 	}()
 	select {
@@ -268,13 +275,19 @@
 	}
 }
 
-// invokeLink calls a method on a connection without counting the call as pending. It returns errSilent
-// when giveUp is closed.
-func invokeLink[T any](ctx context.Context, l *peerLink, giveUp <-chan struct{}, method string, args any) (T, error) {
-	var zero T
+// invokeUnlessBroken calls a method on a connection without counting the call as pending. It returns
+// errUnreachable if the connection has ended or is silent, and errSilent when it becomes silent.
+func invokeUnlessBroken[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
 	if l.broken.Load() {
+		var zero T
 		return zero, errUnreachable
 	}
+	return invokeLink[T](ctx, l, l.silent, method, args)
+}
+
+// invokeLink calls a method on a connection. It returns errSilent when giveUp is closed.
+func invokeLink[T any](ctx context.Context, l *peerLink, giveUp <-chan struct{}, method string, args any) (T, error) {
+	var zero T
 	reply := new(T)
 	call := l.client.Go(peerService+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
