--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -201,6 +201,16 @@
 	t.abandoned.PushBack(id)
 }
 
+// AbandonedUntil returns the latest time until which an abandoned call may go on, zero if none may.
+func (t *Tracker) AbandonedUntil() (latest time.Time) {
+	for el := t.abandoned.Front(); el != nil; el = el.Next() {
+		if c := t.running[el.Value.(uuid.UUID)]; c.until.After(latest) {
+			latest = c.until
+		}
+	}
+	return latest
+}
+
 func (t *Tracker) endAbandoned(el *list.Element) {
 	delete(t.running, el.Value.(uuid.UUID))
 	t.abandoned.Remove(el)
--- a/mesh/backendwatch.go
+++ b/mesh/backendwatch.go
@@ -9,13 +9,10 @@
 	"github.com/go-faster/errors"
 )
 
-// watchAbandoned makes the daemon watch the backend server until the deadline of an abandoned run.
-// Without it, a crash under that run is noticed with the next request, which may come after the
+// watchAbandoned makes the daemon watch the backend server until the deadlines of the abandoned runs.
+// Without it, a crash under such a run is noticed with the next request, which may come after the
 // deadline. d.mu is held.
-func (d *Daemon) watchAbandoned(deadline time.Time) {
-	if deadline.After(d.abandonedUntil) {
-		d.abandonedUntil = deadline
-	}
+func (d *Daemon) watchAbandoned() {
 	if d.watchingBackend {
 		return
 	}
@@ -51,8 +48,9 @@
 func (d *Daemon) abandonedRunsUntil() (until time.Time, any bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.watchingBackend = d.ctx.Err() == nil && d.liveness.Accepting() && time.Now().Before(d.abandonedUntil)
-	return d.abandonedUntil, d.watchingBackend
+	until = d.crashes.AbandonedUntil()
+	d.watchingBackend = d.ctx.Err() == nil && d.liveness.Accepting() && time.Now().Before(until)
+	return until, d.watchingBackend
 }
 
 // awaitReadable waits until an idle connection has ended or has bytes to read, or ctx has ended, and
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -141,7 +141,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.crashes.CallAbandoned(now, a.callID(), a.deadline)
-		d.watchAbandoned(a.deadline)
+		d.watchAbandoned()
 		return
 	}
 	d.checkCrash(d.isSuspect(a.fingerprint), func() { d.recordRunEnd(a, false) })
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -121,9 +121,8 @@
 	invalidRate      string             // limit of the local backend server that was not readable, "" if it was
 	liveness         quarantine.Liveness
 	crashes          *quarantine.Tracker
-	replaced         replacedUpstream
+	replacement      directory.Replacement
 	watchingBackend  bool                // whether watchBackend runs
-	abandonedUntil   time.Time           // latest deadline of an abandoned run
 	unsentReports    []quarantine.Report // crash reports to be sent to peers
 	exchanges        quarantine.Exchanges
 	callGraph        *callgraph.Observer
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -123,7 +123,7 @@
 	if d.stopping || a.withdrawn || known && local.ID == args.Instance && local.Draining {
 		return slots.Decision{Reason: slots.Closed}, OutcomeLeaving
 	}
-	if d.isReplaced(now, args.Instance) {
+	if d.replacement.Refuses(now, args.Instance) {
 		return slots.Decision{Reason: "other_instance"}, OutcomeLeaving
 	}
 	d.mergeReports(now, args.Reports)
@@ -227,27 +227,6 @@
 	}
 }
 
-// countRetryRun adds delta to the number of local runs that are retries, if this is one.
-func (d *Daemon) countRetryRun(a *localAttempt, delta int) {
-	if !a.isRetry {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.retryRuns += delta
-}
-
-// retryShare returns the share of the local runs that are retries. Requests of the local
-// backend server do not say which run makes them; all runs are assumed to make the same
-// number. Requests of other callers are charged as well, which overestimates the retries and
-// is therefore safe. d.mu is held.
-func (d *Daemon) retryShare() float64 {
-	if d.retryRuns == 0 {
-		return 0
-	}
-	return float64(d.retryRuns) / float64(max(d.limiter.Load().Running, d.retryRuns))
-}
-
 // run sends a request to the backend server. The attempt holds a slot, which is released when
 // the first part of the answer has been read or the exchange has failed. When the time has run
 // out or the caller has left, run returns at once; the exchange may continue for
--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -15,60 +15,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if head.WrongUpstream {
-		d.markReplaced(now, a)
+		if d.replacement.RecordMisdirected(now, a.instance) {
+			d.log.Info(eventReplaced, zap.String("id", a.requestID), zap.String("upstream", a.instance))
+		}
 		return
 	}
-	if a.instance == d.replaced.instance {
-		d.replaced = replacedUpstream{}
-	}
+	d.replacement.RecordAnswered(a.instance)
 	d.recordRate(now, a, head, sent)
 	if local, _ := d.dir.At(d.settings.BackendAddress); head.Leaving && local.ID == a.instance {
 		d.markLeaving(local, a.requestID, "answer")
 	}
 }
 
-// minMisdirected is the number of successive requests that must be misdirected for an upstream to count
-// as replaced: a faulty one may write an earlier refusal once more.
-const minMisdirected = 2
-
-// replacedRecheck is how long the daemon refuses requests for an upstream that another one has replaced
-// before it lets one through again. Each costs an arrival at the present upstream.
-const replacedRecheck = 3 * time.Second
-
-// replacedUpstream is an upstream that was at the address of the local backend server before the present
-// one. The store lists it until it hears of the present one, which takes as long as an outage.
-type replacedUpstream struct {
-	instance    string
-	misdirected int // successive requests for it that were misdirected
-	recheck     time.Time
-}
-
-// markReplaced records that the backend server is not the upstream for which a request was meant. d.mu
-// is held.
-func (d *Daemon) markReplaced(now time.Time, a *localAttempt) {
-	if d.replaced.instance != a.instance {
-		d.replaced = replacedUpstream{instance: a.instance}
-	}
-	d.replaced.misdirected++
-	d.replaced.recheck = now.Add(replacedRecheck)
-	if d.replaced.misdirected == minMisdirected {
-		d.log.Info(eventReplaced, zap.String("id", a.requestID), zap.String("upstream", a.instance))
-	}
-}
-
-// isReplaced reports whether requests for an upstream are refused because another one has replaced it.
-// One request in each replacedRecheck is not. d.mu is held.
-func (d *Daemon) isReplaced(now time.Time, instance string) bool {
-	if instance == "" || instance != d.replaced.instance || d.replaced.misdirected < minMisdirected {
-		return false
-	}
-	if now.Before(d.replaced.recheck) {
-		return true
-	}
-	d.replaced.recheck = now.Add(replacedRecheck)
-	return false
-}
-
 // markLeaving records that an upstream takes no new requests, and refuses those that wait for it
 // here. id is that of the request that showed it, and source where. d.mu is held.
 func (d *Daemon) markLeaving(u directory.Upstream, id, source string) {
