--- a/core/loadshed/gate.go
+++ b/core/loadshed/gate.go
@@ -41,10 +41,10 @@
 	raise, lower = 0.15, 0.04
 	// maxRaise bounds the rise of a level in one tick.
 	maxRaise = 0.03
-	// awayRaise is the rise of a level in one tick while the blocked service has no upstream: what is
+	// unavailableRaise is the rise of a level in one tick while the blocked service has no upstream: what is
 	// admitted then is wasted. returnFactor is how much faster than by lower the level falls once it
 	// has some again, all with free slots, until it is blocked once more.
-	awayRaise, returnFactor = 0.1, 4
+	unavailableRaise, returnFactor = 0.1, 4
 	// returnGrace is how long shares that are reported after the return of a service are ignored.
 	// They were measured before, or by daemons that do not know of it yet.
 	returnGrace = time.Second
@@ -63,9 +63,9 @@
 
 // estimate is the blocked share of the calls to one service, as of updatedAt.
 type estimate struct {
-	value     float64
-	updatedAt time.Time
-	away      bool // the service had no upstream at the latest Refresh
+	value       float64
+	updatedAt   time.Time
+	unavailable bool // the service had no upstream at the latest Refresh
 }
 
 func (e *estimate) now(now time.Time) float64 {
@@ -107,14 +107,14 @@
 	}
 }
 
-// Refresh forgets the shares of services that had no upstream and have some again. away reports whether
+// Refresh forgets the shares of services that had no upstream and have some again. unavailable reports whether
 // a service has none.
-func (m *Meter) Refresh(away func(service string) bool) {
+func (m *Meter) Refresh(unavailable func(service string) bool) {
 	for service, e := range m.services {
-		switch isAway := away(service); {
-		case isAway:
-			e.away = true
-		case e.away:
+		switch isUnavailable := unavailable(service); {
+		case isUnavailable:
+			e.unavailable = true
+		case e.unavailable:
 			delete(m.services, service)
 		}
 	}
@@ -151,10 +151,10 @@
 	// after TickInterval.
 	blocked    float64
 	reportedAt time.Time
-	// away says that the service has no upstream. returnedAt is when it had some again and returning
+	// unavailable says that the service has no upstream. returnedAt is when it had some again and returning
 	// that its level falls for that reason.
-	away, returning bool
-	returnedAt      time.Time
+	unavailable, returning bool
+	returnedAt             time.Time
 	// lastReport holds when each service last reported this one blocked, and lastRequest when
 	// a new request of each rank last led to it.
 	lastReport  map[string]time.Time
@@ -226,12 +226,12 @@
 	maps.DeleteFunc(b.lastRequest, func(_ int, last time.Time) bool { return unused(last) })
 }
 
-// Tick adjusts the levels. It must be called once in each TickInterval. away reports whether a service
+// Tick adjusts the levels. It must be called once in each TickInterval. unavailable reports whether a service
 // has no upstream.
-func (g *Gate) Tick(now time.Time, away func(service string) bool) {
+func (g *Gate) Tick(now time.Time, unavailable func(service string) bool) {
 	for service, b := range g.levels {
 		b.dropUnused(now)
-		b.setAway(now, away(service))
+		b.setUnavailable(now, unavailable(service))
 		b.level += b.change(now)
 		b.level = min(b.level, float64(max(len(b.lastRequest), 1)))
 		if b.level <= 0 && now.Sub(b.reportedAt) > reportLife {
@@ -241,11 +241,11 @@
 	}
 }
 
-func (b *blockedService) setAway(now time.Time, away bool) {
-	if b.away && !away {
+func (b *blockedService) setUnavailable(now time.Time, unavailable bool) {
+	if b.unavailable && !unavailable {
 		b.blocked, b.returnedAt, b.returning = 0, now, true
 	}
-	b.away = away
+	b.unavailable = unavailable
 }
 
 // change returns the change of the level in one tick.
@@ -255,8 +255,8 @@
 		excess = b.blocked - blockedThreshold
 	}
 	switch {
-	case b.away && excess > 0:
-		return awayRaise
+	case b.unavailable && excess > 0:
+		return unavailableRaise
 	case excess > 0:
 		b.returning = false
 		return min(raise*excess, maxRaise)
--- a/core/loadshed/gate_test.go
+++ b/core/loadshed/gate_test.go
@@ -71,7 +71,7 @@
 	start := time.Unix(1000, 0)
 	admitted = make(map[int]int)
 	for now := start; ; now = now.Add(TickInterval) {
-		away := now.Sub(start) < duration
+		unavailable := now.Sub(start) < duration
 		total := 0
 		for range 10 {
 			for _, rank := range []int{0, 2} {
@@ -79,13 +79,13 @@
 					continue
 				}
 				total++
-				if away {
+				if unavailable {
 					admitted[rank]++
 				}
-				meter.Count(now, "deep", away)
+				meter.Count(now, "deep", unavailable)
 			}
 		}
-		gone := func(string) bool { return away }
+		gone := func(string) bool { return unavailable }
 		meter.Refresh(gone)
 		gate.Observe(now, "entry", meter.Shares(now))
 		gate.Tick(now, gone)
@@ -98,7 +98,7 @@
 // Guards against work that is begun for requests whose calls all fail, and against refusing requests
 // long after the service that they need is back.
 func TestGateFollowsOutage(t *testing.T) {
-	Convey("While all upstreams of a service are away for 9 s, most requests of the less important rank are refused within a second", t, func() {
+	Convey("While all upstreams of a service are unavailable for 9 s, most requests of the less important rank are refused within a second", t, func() {
 		admitted, recovery := outage(9 * time.Second)
 		t.Logf("admitted during the outage: %v of 900 each; all admitted %s after it", admitted, recovery)
 		So(admitted[2], ShouldBeLessThan, 200)
--- a/mesh/loadshed.go
+++ b/mesh/loadshed.go
@@ -91,8 +91,8 @@
 		return
 	}
 	d.lastGateTick = now
-	d.callMeter.Refresh(d.serviceAway)
-	d.entryMeter.Refresh(d.serviceAway)
+	d.callMeter.Refresh(d.serviceUnavailable)
+	d.entryMeter.Refresh(d.serviceUnavailable)
 	// The blocked shares of new requests count as well. Calls are always admitted, so that
 	// requests of the same rank would otherwise be treated differently depending on whether
 	// they reach the service directly or through calls.
@@ -100,14 +100,14 @@
 		d.gate.Observe(now, share.Service, []loadshed.Share{share})
 	}
 	before := len(d.gate.Levels())
-	d.gate.Tick(now, d.serviceAway)
+	d.gate.Tick(now, d.serviceUnavailable)
 	if levels := d.gate.Levels(); len(levels) != before {
 		d.log.Info(eventGate, zap.String("levels", fmt.Sprint(levels)))
 	}
 }
 
-// serviceAway reports whether a service has no upstream that takes new work. d.mu is held.
-func (d *Daemon) serviceAway(service string) bool { return len(d.dir.Serving(service)) == 0 }
+// serviceUnavailable reports whether a service has no upstream that takes new work. d.mu is held.
+func (d *Daemon) serviceUnavailable(service string) bool { return len(d.dir.Serving(service)) == 0 }
 
 // setOriginVMs updates the number of VMs of each service that send requests here: those of the
 // own zone, which prefer this upstream. d.mu is held.
--- a/mesh/panics.go
+++ b/mesh/panics.go
@@ -27,11 +27,9 @@
 	panicBody       = "body"
 	panicPeer       = "peer"
 	panicExchange   = "exchange"
+	panicItem       = "item" // the decoding of an item of the store, not of a request
 )
 
-// panicItem is the part in which a panic ends only the decoding of one item of the store.
-const panicItem = "item"
-
 // stateMutex is a mutex that notes a panic of a critical section that unlocks it with defer. The
 // state that it guards may then be half changed.
 type stateMutex struct {
