--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p ../target
-GOFLAGS="${GOFLAGS:-} -mod=mod" go build -o ../target/review-standin ./standin
+go build -buildvcs=false -o ../target/review-standin ./standin
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,7 +15,7 @@
 	linkBytesPerS = 1000e6 / 8
 	// garbageBytes is the length of the malformed message. It is shorter than the bodies that maxBodyBytes
 	// of the bench's example of a configuration allows (67108864).
-	garbageBytes = 40 << 20
+	garbageBytes = 56 << 20
 	// inTouch exceeds stableS, after which a machine is in touch.
 	inTouch = 4 * time.Second
 )
