--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -180,6 +180,7 @@
 	err = cmd.Start()
 	if err == nil {
 		started.processes = append(started.processes, cmd.Process)
+		listProcess(cmd.Process.Pid)
 	}
 	started.Unlock()
 	if err != nil {
@@ -284,6 +285,20 @@
 	processes []*os.Process
 }
 
+// listProcess adds a process to the list from which run-case.sh ends what is left if this one is killed.
+func listProcess(pid int) {
+	folder := os.Getenv("TMPDIR")
+	if folder == "" {
+		return
+	}
+	list, err := os.OpenFile(filepath.Join(folder, "pids"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	defer list.Close()
+	fmt.Fprintln(list, pid)
+}
+
 // killAll ends all processes that were started and keeps further ones from being started.
 func killAll() {
 	started.Lock()
