Answer requests that have arrived in the kernel's buffer when their connection is given up for time

Cause: a read of package net whose deadline is over fails without a look at the socket. `retire` ends the wait for the next request by a deadline of now, so a request that lay in the kernel's buffer was discarded by `linger`. The idle timeout, the time for a header and the time for a body gave up what had arrived in time whenever the process read it later than that, as after SIGSTOP and SIGCONT or without processor time. `beginWait` closed for both reasons also without any read.

Change: `internal/sockread` reads once without waiting before a read fails for its deadline, and a connection is closed for time or by Drain only after a read that found nothing. `linger` and `awaitEnd` keep plain reads, since they discard.

Ruled out: a caller that sends without end does not hold a wait, since each read after its deadline takes what is there and the sizes of header and body are bounded as before.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -159,9 +159,9 @@
 // awaitFirstByte returns nil when the first byte of the next request has been received. Time
 // in which a request is being handled does not count as idle.
 func (c *conn) awaitFirstByte() error {
-	started := time.Now()
+	started, looked := time.Now(), false
 	for {
-		if err := c.beginWait(started); err != nil {
+		if err := c.beginWait(started, looked); err != nil {
 			return err
 		}
 		_, err := c.reader.Peek(1)
@@ -172,18 +172,20 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return io.EOF // closed or failed: no response is due
 		}
+		looked = true
 	}
 }
 
-// beginWait sets the deadline for the first byte of the next request, which has been awaited
-// since started. It returns an error if the connection is to be closed instead.
-func (c *conn) beginWait(started time.Time) error {
+// beginWait sets the deadline for the first byte of the next request, which has been awaited since
+// started. It returns an error if the connection is to be closed instead. looked says that nothing had
+// arrived just now; without that, a connection to be closed gets a deadline that only allows a look.
+func (c *conn) beginWait(started time.Time, looked bool) error {
 	idle := c.server.Limits().IdleTimeout
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	busy := len(c.inFlight) > 0
-	if !busy && (c.closing || c.retiring && c.reader.Buffered() == 0) {
+	if !busy && (c.closing || c.retiring && looked) {
 		return errRetiring
 	}
 	deadline := time.Time{}
@@ -195,10 +197,13 @@
 			idleSince = c.ended
 		}
 		deadline = idleSince.Add(idle)
-		if !now.Before(deadline) {
+		if looked && !now.Before(deadline) {
 			return io.EOF // idle: no response is due
 		}
 	}
+	if !busy && c.retiring {
+		deadline = now
+	}
 	_ = c.netConn.SetReadDeadline(deadline)
 	c.awaiting = true
 	return nil
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
+	"github.com/hawthornpoint/hawthornpoint/internal/sockread"
 )
 
 const (
@@ -76,7 +77,7 @@
 func (s *Server) startConn(netConn net.Conn) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	c := &conn{server: s, netConn: netConn, ctx: ctx, cancel: cancel, exchangeEnded: make(chan struct{}, 1)}
-	c.heads = headlimit.NewReader(netConn)
+	c.heads = headlimit.NewReader(sockread.NewReader(netConn))
 	c.reader = bufio.NewReaderSize(c.heads, 4<<10)
 	c.writer = bufio.NewWriterSize(netConn, 4<<10)
 	s.mu.Lock()
