Complete a response whose end comes later than the write deadline of its last bytes

Cause: `finish` writes the last chunk and the rest of the buffer under the deadline of the last write of the handler. Evidence, TestResponseEndsLongAfterItsLastBytes (write deadlines of 100 ms) on the code before: Line 272: Expected: []string{"all"} Actual: []string(nil) Change: `finish` sets a deadline of its own.

--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -120,6 +120,7 @@
 		c.close(nil)
 		return
 	}
+	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if w.remaining == -1 {
 		_, _ = c.writer.WriteString("0\r\n\r\n")
 	}
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -250,3 +250,26 @@
 		So(second.StatusCode, ShouldEqual, http.StatusOK)
 	})
 }
+
+// Guards against a response that is cut at its end, because the deadline of an earlier write was over.
+func TestResponseEndsLongAfterItsLastBytes(t *testing.T) {
+	Convey("A response whose end comes later than the deadline of its last write is complete", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Limits: func() Limits { return Limits{} }, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "all")
+			time.Sleep(2 * hastyWrite)
+			_, _ = w.Write(nil)
+		})}
+		go s.Serve(hastyListener{l}, func(error) {})
+		defer s.Close()
+		defer l.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, _ = io.WriteString(c, "GET /a"+versionAndHost+"\r\n")
+		bodies, closed := readAll(c)
+		So(bodies, ShouldResemble, []string{"all"})
+		So(closed, ShouldBeFalse)
+	})
+}
