A stopping daemon delivers its replies to peers that read late

What callers saw: a run that may not be repeated had been accepted by the daemon beside its upstream and was answered there, but its caller got 502, because the reply never reached the daemon that waited for it.

Cause: PeerConn removed an attempt before net/rpc wrote its reply. Daemon.idle was then true, Close followed, and servePeer left 300 ms for writing. A peer that reads later (busy, paused, small buffers) lost the reply. A reply that was in the kernel's send buffer was lost too when calls of the peer (pings, questions) were still unread: closing a connection with unread bytes resets it, which discards what it has to send.

Evidence: TestStopDeliversRepliesToPeersThatReadLate on, real sockets, receiver with a buffer of 4 KB that reads at 0.6 of a grace time of 4 s. Both cases fail in 2 of 2 runs: "reading body unexpected EOF" instead of the reply of 96 KB (send buffer of 8 KB; default send buffer with a ping every 5 ms).

Change: a codec with the encoding of net/rpc's own clients counts a call about an attempt (Ask, Run, Chunk, More) until its reply has been written, and Daemon.idle waits for these. When the daemon closes, a link is closed for writing first; what arrives is discarded, and the link is closed when the peer's system has acknowledged the last reply about an attempt, at the latest at 0.95 of the grace time (300 ms after a Close without a stop). Replies to pings and polls are not waited for, so that a VM that is gone does not hold a stop. A reply that can't be delivered is logged.

Ruled out: lengthening the 300 ms alone. It does not help the second case, and the attempt still counted as ended, so that the time began before the reply was written.

--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -44,6 +44,9 @@
 	// shutdownShare is the share of the grace time after which a stopping daemon aborts the
 	// requests in flight; the rest is left for the process to exit.
 	shutdownShare = 0.9
+	// closeShare is the share of the grace time by which a stopping daemon has closed its links, whose
+	// peers may still read replies until then.
+	closeShare = 0.95
 	// answerShare is the share of the grace time by which requests that a stopping daemon accepts
 	// must have ended, so that their last answers are written before shutdownShare.
 	answerShare = 0.88
@@ -109,6 +112,8 @@
 	answers    atomic.Uint64
 	// peerAttempts is the number of attempts of peers that wait, run or have a rest to be fetched.
 	peerAttempts atomic.Int64
+	// peerCalls is the number of calls of peers about attempts whose replies have not been written.
+	peerCalls atomic.Int64
 	// callerRequests is the number of requests of callers that have not been answered.
 	callerRequests atomic.Int64
 	routes         atomic.Pointer[routing.Table]
@@ -140,6 +145,7 @@
 	grace            time.Duration // Settings.Grace in force
 	seeds            []string
 	acceptUntil      time.Time // until when a stopping daemon accepts requests of callers
+	closeBy          time.Time // until when a stopping daemon delivers replies to peers; zero without a stop
 	storeUnavailable bool
 	// watching says that this daemon watches the store itself and the last read succeeded.
 	watching  bool
@@ -418,6 +424,7 @@
 	d.stopping = true
 	acceptUntil := started.Add(time.Duration(acceptShare * float64(grace)))
 	d.acceptUntil = acceptUntil
+	d.closeBy = started.Add(time.Duration(closeShare * float64(grace)))
 	d.dispatcher.StopBy(started.Add(time.Duration(answerShare * float64(grace))))
 	d.limiter.Close()
 	d.mu.Unlock()
@@ -451,9 +458,20 @@
 }
 
 // idle reports whether all requests of callers that arrived before t have been answered, and all
-// attempts of peers have ended. Close still writes the replies to these.
+// attempts of peers have ended and their replies have been written. Close waits until these have been
+// acknowledged.
 func (d *Daemon) idle(t time.Time) bool {
-	return d.callers.Finished(t) && d.peerAttempts.Load() == 0
+	return d.callers.Finished(t) && d.peerAttempts.Load() == 0 && d.peerCalls.Load() == 0
+}
+
+// linksCloseBy returns when a daemon that closes closes its links although replies are not delivered.
+func (d *Daemon) linksCloseBy() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closeBy.IsZero() {
+		d.closeBy = time.Now().Add(peerCloseTimeout)
+	}
+	return d.closeBy
 }
 
 // Close stops the daemon at once, aborts the requests in flight, and waits for its goroutines.
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -17,7 +17,8 @@
 // peerService is the name of the net/rpc service through which daemons call each other.
 const peerService = "Peer"
 
-// peerCloseTimeout bounds the time for writing the last replies to a peer when the daemon closes.
+// peerCloseTimeout bounds the time for delivering the last replies to a peer when the daemon closes
+// without a graceful stop.
 const peerCloseTimeout = 300 * time.Millisecond
 
 // PeerConn serves one connection of another daemon over net/rpc. The attempts that were made
@@ -42,8 +43,8 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
 	stop := context.AfterFunc(d.ctx, func() {
-		// Ends the reading of calls. ServeConn closes the connection when those read are answered.
-		_ = c.SetWriteDeadline(time.Now().Add(peerCloseTimeout))
+		// Ends the reading of calls. The connection is closed when those read are answered.
+		_ = c.SetWriteDeadline(d.linksCloseBy())
 		_ = c.SetReadDeadline(time.Now())
 	})
 	defer stop()
@@ -55,9 +56,9 @@
 		_ = c.Close()
 		return
 	}
-	// ServeConn returns only after all calls have returned. The end of the connection cancels
+	// ServeCodec returns only after all calls have returned. The end of the connection cancels
 	// them.
-	server.ServeConn(&endNotifyConn{Conn: d.limitMessages(c), onEnd: cancel})
+	server.ServeCodec(newPeerCodec(d, c, &endNotifyConn{Conn: d.limitMessages(c), onEnd: cancel}))
 }
 
 // endNotifyConn calls onEnd when reading from the connection fails.
