A connection to the backend server lasts while a long body is read late

What callers saw: 502 for a request with a long body whose upstream begins to read it, or reads on, after more than two seconds. A caller of an unrelated request got the same when it followed on a connection whose upstream had answered early and still had the body before it to read.

Cause: TCP_USER_TIMEOUT of 2 s. On Linux it ends a connection also when the other end acknowledges every probe but keeps its window closed for that long.

Evidence: TestUpstreamThatReadsLongBodyLate on with mesh.Dial on loopback, body of 1 MiB, upstream that begins to read after 3 s: "read tcp: connection timed out" after 2.28 s of 8, status 502. Upstream that answers first and reads on after 3 s: the next request gets 502 after 2 s.

Change: while a body of more than 16 KB is sent the option is a minute, which no deadline reaches; the request's own deadline ends the connection. The 2 s hold again when the backend server's system has acknowledged the whole body. Until then the connection is not used for another request, which would wait behind the body. Short requests keep the 2 s, so that a connection that has gone silent is still noticed.

After: the body arrives completely; the next request is answered at once on another connection. Ruled out: no option at all on these connections. A short request on a silent connection would then be held until its deadline. Not covered: a request of under 16 KB to an upstream whose receive buffer is smaller than that.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -62,6 +62,29 @@
 	reader *bufio.Reader // of heads
 	// expires is the time from which the connection is not used again.
 	expires time.Time
+	// readsLate says that lateReadTimeout holds, for a body that the backend server may read late.
+	readsLate bool
+}
+
+// allowLateReading puts lateReadTimeout in the place of unackedTimeout. The deadline of the request still ends the connection.
+func (c *backendConn) allowLateReading() error {
+	c.readsLate = true
+	return setUnackedTimeout(c.Conn, lateReadTimeout)
+}
+
+// limitReading puts unackedTimeout in force again. It returns false if that fails, or a part of a body is
+// still to be read, behind which the next request would wait.
+func (c *backendConn) limitReading() bool {
+	syscallConn, ok := c.Conn.(syscall.Conn)
+	if !c.readsLate || !ok {
+		return true
+	}
+	unacked, err := unackedBytes(syscallConn)
+	if err == nil && unacked > 0 || err != nil && !errors.Is(err, errUnackedUnknown) {
+		return false
+	}
+	c.readsLate = false
+	return setUnackedTimeout(c.Conn, unackedTimeout) == nil
 }
 
 // exchange is one request and its answer on a connection.
@@ -109,6 +132,9 @@
 	if req.ContentLength >= 0 && req.ContentLength <= smallBodyBytes {
 		return req.Write(ex.conn)
 	}
+	if ex.conn.allowLateReading() != nil {
+		ex.backend.count("limit_kept")
+	}
 	ex.writeDone = make(chan error, 1)
 	go func() {
 		defer func() {
@@ -170,7 +196,7 @@
 // finish ends an exchange whose answer was read to its end, and keeps the connection if it can
 // be used again.
 func (ex *exchange) finish() {
-	if !ex.cancelClose() || !ex.reusable() {
+	if !ex.cancelClose() || !ex.reusable() || !ex.conn.limitReading() {
 		ex.backend.count("not_reusable")
 		_ = ex.conn.Close()
 		return
