mesh: accept calls of runs in flight while the daemon beside them stops

Callers saw: a request that runs at a backend server whose daemon gets SIGTERM ends with 500 if the run makes a call later than 0.4 of the grace time after the signal (2.4 s of 6 s).

Cause: Shutdown accepts requests of callers for acceptShare of the grace time and then waits for the runs of other daemons up to drainShare. The calls that these runs make are requests of a caller on the VM, and were refused with 503 (leaving), so that the work of the run was lost and the request failed.

Change: once acceptShare is over, a stopping daemon still accepts requests on the routes that it knows to be calls of its backend server, until it is idle or starts no more attempts (drainShare). Their deadline is limited by answerShare as that of all requests that a stopping daemon accepts. Other requests are refused as before.

Ruled out: accepting all requests for longer. Clients go on sending to a VM until two health checks have failed, and requests of theirs that are accepted late may not end in time.

--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -66,15 +66,15 @@
 // the code of the refusal, 0 for none.
 func (c *callerRequest) admit() resultcode.Code {
 	d := c.daemon
-	if !d.acceptsRequests() {
-		return resultcode.Leaving
-	}
 	table := d.table()
-	if table == nil {
-		return resultcode.NotConfigured
+	if table != nil {
+		c.route = table.Match(c.r.Host, c.r.URL.EscapedPath())
 	}
-	c.route = table.Match(c.r.Host, c.r.URL.EscapedPath())
 	switch {
+	case !d.acceptsRequests(c.route):
+		return resultcode.Leaving
+	case table == nil:
+		return resultcode.NotConfigured
 	case c.route == nil:
 		return resultcode.UnknownService
 	case c.head.ID == "":
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -48,7 +48,7 @@
 	// must have ended, so that their last answers are written before shutdownShare.
 	answerShare = 0.88
 	// acceptShare is the share of the grace time for which a stopping daemon still accepts
-	// requests of callers. Callers use another daemon after two failed health checks, and
+	// requests of callers other than calls of the local backend server. Callers use another daemon after two failed health checks, and
 	// requests accepted later might not end in time.
 	acceptShare = 0.4
 )
@@ -350,11 +350,16 @@
 	return d.stopping
 }
 
-// acceptsRequests reports whether requests of callers are accepted.
-func (d *Daemon) acceptsRequests() bool {
+// acceptsRequests reports whether requests on the route are accepted; route is nil if it is unknown. A
+// stopping daemon accepts calls of the local backend server for as long as it starts attempts: the work
+// of the run that makes them would be lost otherwise.
+func (d *Daemon) acceptsRequests(route *routing.Route) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.stopping || time.Now().Before(d.acceptUntil)
+	if !d.stopping || time.Now().Before(d.acceptUntil) {
+		return true
+	}
+	return route != nil && d.callRoutes[route.Name]
 }
 
 // partBytes returns the length of the next part of an answer, of which the receiver takes at most the
@@ -407,7 +412,8 @@
 }
 
 // Shutdown stops the daemon gracefully. It refuses new requests of other daemons, accepts those
-// of callers for acceptShare of the grace time, and closes each caller's connection after its
+// of callers for acceptShare of the grace time and calls of the local backend server until it is idle or
+// drainShare of the grace time is over, and closes each caller's connection after its
 // next answer. When the daemon is idle, or after drainShare of the grace time, it closes the
 // connections of callers as they become idle, and after shutdownShare of the grace time the
 // others. Requests that wait for a slot or a retry after drainShare are refused.
