Signals while the program is loaded no longer end a daemon's process

Seen: a daemon that got SIGHUP (settings change) or SIGTERM right after its start was ended by the signal.

Cause: the signals were received from the first statement of the command, but exec, the dynamic linker, the runtime and the initialisation of some hundred packages come before it, 10 to 50 ms on a busy machine, with the default action.

TestSignalsWhileProgramIsLoaded on the code before: "the daemon is not ready" after 15 s, at the first moment, since the process had ended.

Change: package internal/earlysignals. A constructor in C (cgo, glibc) ignores SIGHUP and handles SIGTERM and SIGINT with exit code 0, if the command is a daemon's. The runtime documents that it keeps an ignored SIGHUP until signal.Notify; a signal that nothing receives it passes on to the handler that it found. Nothing is lost: settings are read after that moment, and there are no requests. In every build the package's initialisation calls signal.Notify for the channels that the command uses later.

Weighed: blocking the signals in the constructor, so that they are pending until the command. Tried: 24 of 24 still ended up to 2 ms, and 12 of 12 that got SIGHUP as soon as it was blocked, because the runtime unblocks in each of its threads the signals that end a process (blockableSig). .preinit_array runs before the constructors of libraries, which gains microseconds and would be too early for tools that set up the process by such constructors. Ignoring SIGTERM too would lose it, and the runtime does not keep that.

Other commands (check, try, stand-in) keep their signals: tested with try. Those of try and stand-in during their start end them at once, which is what a user of them expects.

--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"go.uber.org/zap"
+
+	"github.com/hawthornpoint/hawthornpoint/internal/earlysignals"
 )
 
 // eventSignal is the log event of a received signal.
@@ -20,14 +22,13 @@
 	stop, reload chan os.Signal
 }
 
-// receiveSignals must be called before anything else that a daemon's process does. SIGPIPE is
-// ignored: otherwise the first line of the log after its reader has ended would end the process.
+// receiveSignals must be called before anything else that a daemon's command does. Package
+// earlysignals handles those that arrive before. SIGPIPE is ignored: otherwise the first line of
+// the log after its reader has ended would end the process.
 func receiveSignals() processSignals {
-	s := processSignals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
-	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(s.reload, syscall.SIGHUP)
+	stop, reload := earlysignals.Receive()
 	signal.Ignore(syscall.SIGPIPE)
-	return s
+	return processSignals{stop: stop, reload: reload}
 }
 
 // awaitStop returns when a stop is requested. SIGHUP has no effect before that.
--- /dev/null
+++ b/internal/earlysignals/cgo_linux.go
@@ -0,0 +1,3 @@
+package earlysignals
+
+import "C" // links handle_linux.c
