A start waits for a settings file that is being written

Would be seen: a process that is started while its settings file is missing for a moment, empty or written in part ended with exit code 1: a process that ends by itself. os.WriteFile, and whoever else writes in place, truncates the file first.

Evidence: TestSettingsFileIncompleteAtStart on the code before: "the daemon is not ready" after 15 s with a file that was missing or incomplete for the first 0.5 s. While the process runs, such a file was already refused without harm (TestSettingsFileChanges).

Change: core/startup decides how long a step of the start is repeated (each 0.1 s, for 30 s) and which error is new; processSignals.repeat runs it. Each error that differs from the one before has a line `start delayed` with file and field. SIGHUP reads at once, SIGTERM and SIGINT end the process with exit code 0. After the limit the start ends with the last error and exit code 1.

After: the file missing, empty or cut in half for 0.5 s: the daemon serves. Two SIGHUP and two SIGTERM while it waits: exit code 0.

Not changed: `hawthornpoint daemon`. Its settings are written by hand and read only at the start; docs/OPERATIONS.md promises the list of errors at once. Weighed: to wait only for a file that is missing or not JSON; an invalid field of a file that is still being written can't be told from a wrong one, and the first line of the log names it at once in any case.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -49,9 +49,13 @@
 	})
 	defer queue.Close()
 	log := zap.New(queue.Core(logqueue.NewEncoder(), level))
-	loaded, err := platform.LoadSettings(c.Settings, c.MetricsPort)
-	if err != nil {
+	var loaded *platform.Settings
+	err = signals.repeat(log, "read settings", func() (err error) {
+		loaded, err = platform.LoadSettings(c.Settings, c.MetricsPort)
 		return err
+	})
+	if err != nil {
+		return startError(err)
 	}
 	if limit := loaded.Mesh.MemoryBytes; limit > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(limit)))
