mesh: skip long answers to other requests

Seen by callers: a request that may run once is answered 502 while its backend server is at work on it; after a SIGTERM of the daemon that is a request broken off.

Cause: a backend server may send a second copy of an answer late, in front of the answer to the next request on the connection. Such a copy was skipped only up to maxPartBytes (128 KB, the size of a message between daemons, which has nothing to do with it). A longer one ended the exchange and the run.

Change: a limit of its own, 8 MB; the body is discarded, not kept, and the request's time limit ends it as well. Read errors are told apart from the limit in the log.

Ruled out: 'Connection: close' on the copy (the stand-in sends no copy then).

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -28,6 +28,9 @@
 	idleTimeoutShare = 0.8
 	// maxSkippedAnswers limits the answers to other requests that are skipped.
 	maxSkippedAnswers = 2
+	// maxSkippedBytes limits the body of an answer that is skipped. It is not kept, and the request's
+	// time limit ends it as well; the limit bounds the processor time for an answer without end.
+	maxSkippedBytes = 8 << 20
 	// smallBodyBytes is the largest body that is written before the answer is read. Longer
 	// bodies are written while the answer is awaited, because the backend server may answer
 	// first.
@@ -153,8 +156,11 @@
 	if ex.skipped++; ex.skipped > maxSkippedAnswers {
 		return errors.New("too many answers to other requests")
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(ex.response.Body, maxPartBytes))
-	if err != nil || n == maxPartBytes || ex.response.Close {
+	n, err := io.Copy(io.Discard, io.LimitReader(ex.response.Body, maxSkippedBytes))
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "skip an answer to another request")
+	case n == maxSkippedBytes || ex.response.Close:
 		return errors.New("an answer to another request does not end")
 	}
 	return ex.readHeader(ex.request)
