--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -24,6 +24,7 @@
 	Sidecar sidecarCommand `cmd:"" help:"Run the daemon beside a backend server on the platform of platform/."`
 	Explain explainCommand `cmd:"" help:"Tell from log files what became of a request, and why."`
 	Try     tryCommand     `cmd:"" help:"Run a bundled deployment in this process and report how it fared."`
+	Soak    soakCommand    `cmd:"" help:"Run daemons as processes, inject faults from a seed and check the recorded history."`
 	StandIn standInCommand `cmd:"" name:"stand-in" help:"Run a stand-in backend server or platform, for trying things out."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
