soak: links between daemons, stops that end with the next start

Half of the connections between daemons pass a proxy of the soak, which resets, silences one or both ways, or delays them.

--- a/harness/soak/check.go
+++ b/harness/soak/check.go
@@ -167,7 +167,7 @@
 // stopOf returns the SIGTERM of the asked VM that binds the request.
 func (c *checker) stopOf(r *Request, runs []*Run) (Event, bool) {
 	for _, e := range c.events[r.VM] {
-		if e.Kind != Terminate || r.At < e.At || r.At > e.At+e.Grace+afterGrace {
+		if e.Kind != Terminate || r.At < e.At || r.At > e.At+e.Grace+afterGrace || c.startedBetween(r.VM, e.At, r.Begin) {
 			continue
 		}
 		lastShare := e.At + time.Duration((1-lastShareOfGrace)*float64(e.Grace))
@@ -181,6 +181,16 @@
 	return Event{}, false
 }
 
+// startedBetween reports whether a process of the VM was started between two times.
+func (c *checker) startedBetween(vm int, from, to time.Duration) bool {
+	for _, e := range c.events[vm] {
+		if e.Kind == Start && e.At > from && e.At < to {
+			return true
+		}
+	}
+	return false
+}
+
 // plannedWork returns the planned work beside which the request was cut, or an empty string.
 func (c *checker) plannedWork(r *Request, runs []*Run) string {
 	if e, ok := c.stopOf(r, runs); ok {
@@ -209,8 +219,8 @@
 	return true
 }
 
-// impaired reports whether the process of a VM was killed or paused between two times, or was still
-// paused or gone because of that.
+// impaired reports whether the process of a VM was killed or paused, or its links failed, between two
+// times, or was still in that state.
 func (c *checker) impaired(vm int, from, to time.Duration) bool {
 	down := false
 	for _, e := range c.events[vm] {
@@ -218,9 +228,9 @@
 			break
 		}
 		switch e.Kind {
-		case Kill, Pause:
+		case Kill, Pause, LinkFault:
 			down = true
-		case Start, Resume:
+		case Start, Resume, LinkSound:
 			if down && e.At >= from {
 				return true
 			}
@@ -284,17 +294,25 @@
 		c.findings = append(c.findings, Finding{Rule: "FAULT", VM: e.VM, At: e.At, Detail: fmt.Sprintf(format, args...)})
 	}
 	var started time.Duration
-	terminated, killed := false, false
+	terminated, killed, paused := false, false, false // paused: during a stop
 	for _, e := range events {
 		switch e.Kind {
 		case Start:
-			started, terminated, killed = e.At, false, false
+			started, terminated, killed, paused = e.At, false, false, false
 		case Terminate:
 			terminated = true
+		case Pause, Resume:
+			paused = paused || terminated || e.Kind == Pause
+			if e.Kind == Resume && !terminated {
+				paused = false
+			}
 		case Kill:
 			killed = true
 		case GraceOver:
 			killed = true
+			if paused {
+				continue
+			}
 			fault(e, "still running at the end of the grace time")
 		case OverMemory, LogProblem:
 			fault(e, "%s", e.Detail)
--- a/harness/soak/check_test.go
+++ b/harness/soak/check_test.go
@@ -73,6 +73,8 @@
 	{name: "connection closed for no reason", request: cut(10, 10.5, nil), want: []string{"LOST"}},
 	{name: "run replaced by a stopping daemon", request: answered(502, nil), runs: []*Run{run(1, 10.1, 11, Dropped)},
 		events: []Event{event(0, 9, Terminate)}, want: []string{"LOST"}},
+	{name: "run replaced by the process after the stop", request: answered(502, nil), runs: []*Run{run(1, 10.1, 11, Dropped)},
+		events: []Event{event(0, 7, Terminate), event(0, 8, Start)}},
 	{name: "run replaced without a stop", request: answered(502, nil), runs: []*Run{run(1, 10.1, 11, Dropped)}},
 	{name: "run twice", request: answered(200, nil), runs: []*Run{run(1, 10.1, 10.2, Dropped), run(2, 10.3, 10.9, Finished)}, want: []string{"TWICE"}},
 	{name: "safe request run twice", request: answered(200, safe), runs: []*Run{run(1, 10.1, 10.2, Dropped), run(2, 10.3, 10.9, Finished)}},
@@ -115,6 +117,8 @@
 		{name: "end with an error after SIGTERM", events: []Event{event(0, 0, Start), event(0, 4, Terminate), failed}, want: []string{"FAULT"}},
 		{name: "end by itself after an earlier kill", events: []Event{event(0, 0, Start), event(0, 1, Kill), event(0, 2, Exit), event(0, 3, Start), failed}, want: []string{"FAULT"}},
 		{name: "still there after the grace time", events: []Event{event(0, 0, Start), event(0, 4, Terminate), event(0, 4.9, GraceOver), failed}, want: []string{"FAULT"}},
+		{name: "paused during the grace time", events: []Event{event(0, 0, Start), event(0, 3, Pause), event(0, 4, Terminate), event(0, 4.5, Resume), event(0, 4.9, GraceOver), failed}},
+		{name: "paused before the grace time", events: []Event{event(0, 0, Start), event(0, 2, Pause), event(0, 3, Resume), event(0, 4, Terminate), event(0, 4.9, GraceOver), failed}, want: []string{"FAULT"}},
 		{name: "too much memory", events: []Event{event(0, 0, Start), event(0, 4, OverMemory)}, want: []string{"FAULT"}},
 		{name: "data race in a log", events: []Event{event(0, 0, Start), event(0, 4, LogProblem)}, want: []string{"FAULT"}},
 	} {
--- a/harness/soak/faults.go
+++ b/harness/soak/faults.go
@@ -54,6 +54,7 @@
 	{"broken answers", 2, true, (*soak).playBroken},
 	{"store fault", 3, false, (*soak).playStoreFault},
 	{"store link", 2, false, (*soak).playStoreLink},
+	{"link between daemons", 3, false, (*soak).playLink},
 	{"restored store", 1, false, (*soak).playRestore},
 }
 
@@ -342,12 +343,23 @@
 	v := s.anyVM(r)
 	broken := r.IntN(2) == 0
 	s.history.addEvent(Event{VM: -1, Kind: StoreFault, Detail: "link of " + v.name})
-	v.link.set(broken, !broken)
+	v.store.set(linkFault{broken: broken, silentUp: !broken, silentDown: !broken})
 	sleep(ctx, span(r, time.Second, 6*time.Second))
-	v.link.set(false, false)
+	v.store.set(linkFault{})
 	s.history.addEvent(Event{VM: -1, Kind: StoreSound})
 }
 
+// playLink breaks, silences or delays the link to a daemon.
+func (s *soak) playLink(ctx context.Context, r *rand.Rand) {
+	v := s.anyVM(r)
+	f := []linkFault{{broken: true}, {silentUp: true}, {silentDown: true}, {silentUp: true, silentDown: true}, {delay: 150 * time.Millisecond}}[r.IntN(5)]
+	s.history.addEvent(Event{VM: v.index, Kind: LinkFault, Detail: fmt.Sprintf("%+v", f)})
+	v.peers.set(f)
+	sleep(ctx, span(r, 50*time.Millisecond, 4*time.Second))
+	v.peers.set(linkFault{})
+	s.history.addEvent(Event{VM: v.index, Kind: LinkSound})
+}
+
 // playRestore replaces the state of the store by that of some seconds ago.
 func (s *soak) playRestore(ctx context.Context, r *rand.Rand) {
 	snapshot := s.store.Snapshot()
--- a/harness/soak/history.go
+++ b/harness/soak/history.go
@@ -91,6 +91,9 @@
 	// StoreFault and StoreSound bound a fault of the store.
 	StoreFault EventKind = "store fault"
 	StoreSound EventKind = "store sound"
+	// LinkFault and LinkSound bound a fault of the connections of other daemons to that of the VM.
+	LinkFault EventKind = "link fault"
+	LinkSound EventKind = "link sound"
 	// UpstreamFault is a fault of the backend server of a VM.
 	UpstreamFault EventKind = "backend server"
 )
--- a/harness/soak/link.go
+++ b/harness/soak/link.go
@@ -4,22 +4,32 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
-// link is a TCP proxy between one VM and the store.
+// linkFault is a fault of a link. The zero value is a sound link.
+type linkFault struct {
+	// broken resets open and new connections.
+	broken bool
+	// silentUp and silentDown hold back what is sent to the target, and what it sends.
+	silentUp, silentDown bool
+	// delay holds back each part for a while.
+	delay time.Duration
+}
+
+// link is a TCP proxy in front of the store or of a daemon.
 type link struct {
 	listener net.Listener
 	target   string
 
-	mu     sync.Mutex
-	broken bool // new connections are reset
-	silent bool // nothing passes
-	open   map[net.Conn]bool
-	sound  *sync.Cond
+	mu    sync.Mutex
+	fault linkFault
+	open  map[net.Conn]bool
+	sound *sync.Cond
 }
 
-func newLink(target string) (*link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newLink(address, target string) (*link, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -31,22 +41,26 @@
 
 func (k *link) address() string { return k.listener.Addr().String() }
 
-// set breaks the link, silences it, or makes it sound again. Open connections of a broken link end.
-func (k *link) set(broken, silent bool) {
+func (k *link) set(fault linkFault) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.broken, k.silent = broken, silent
-	if broken {
+	k.fault = fault
+	if fault.broken {
 		for c := range k.open {
-			_ = c.Close()
+			reset(c)
 		}
 	}
 	k.sound.Broadcast()
 }
 
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
 func (k *link) close() {
 	_ = k.listener.Close()
-	k.set(true, false)
+	k.set(linkFault{broken: true})
 }
 
 func (k *link) accept() {
@@ -60,44 +74,55 @@
 }
 
 func (k *link) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	server, err := net.Dial("tcp", k.target)
+	target, err := net.Dial("tcp", k.target)
 	if err != nil {
+		reset(c)
 		return
 	}
-	defer func() { _ = server.Close() }()
 	k.mu.Lock()
-	if k.broken {
-		k.mu.Unlock()
-		return
-	}
-	k.open[c], k.open[server] = true, true
+	broken := k.fault.broken
+	k.open[c], k.open[target] = true, true
 	k.mu.Unlock()
-	done := make(chan struct{}, 2)
-	for _, pair := range [][2]net.Conn{{c, server}, {server, c}} {
-		go func() {
-			_, _ = io.Copy(pair[0], gatedReader{pair[1], k})
-			done <- struct{}{}
-		}()
+	if broken {
+		reset(c)
 	}
-	<-done
+	var copies sync.WaitGroup
+	for _, up := range []bool{true, false} {
+		from, to := net.Conn(target), c
+		if up {
+			from, to = c, target
+		}
+		copies.Go(func() {
+			_, _ = io.Copy(to, gatedReader{from, k, up})
+			_ = to.(*net.TCPConn).CloseWrite()
+		})
+	}
+	copies.Wait()
 	k.mu.Lock()
 	delete(k.open, c)
-	delete(k.open, server)
+	delete(k.open, target)
 	k.mu.Unlock()
+	_ = c.Close()
+	_ = target.Close()
 }
 
 // gatedReader holds back what it has read while the link is silent.
 type gatedReader struct {
 	conn net.Conn
 	link *link
+	up   bool
 }
 
 func (g gatedReader) Read(p []byte) (int, error) {
 	n, err := g.conn.Read(p)
 	g.link.mu.Lock()
 	defer g.link.mu.Unlock()
-	for g.link.silent {
+	if delay := g.link.fault.delay; delay > 0 {
+		g.link.mu.Unlock()
+		time.Sleep(delay)
+		g.link.mu.Lock()
+	}
+	for g.up && g.link.fault.silentUp || !g.up && g.link.fault.silentDown {
 		g.link.sound.Wait()
 	}
 	return n, err
--- a/harness/soak/soak.go
+++ b/harness/soak/soak.go
@@ -63,7 +63,7 @@
 	Progress io.Writer
 }
 
-type ports struct{ peers, app, ready, control, callers, metrics int }
+type ports struct{ peers, peersLink, app, ready, control, callers, metrics int }
 
 type soak struct {
 	options Options
@@ -88,7 +88,7 @@
 // Play plays one run. It returns an error if the deployment does not start.
 func Play(ctx context.Context, o Options) (*Report, error) {
 	s := &soak{options: o, dir: o.Dir, history: NewHistory(), started: time.Now().UnixMilli(), idleS: 15, load: 1,
-		ports: ports{peers: 8300, app: 8301, ready: 8302, control: 8303, callers: 8304, metrics: 9190}}
+		ports: ports{peers: 8300, peersLink: 8310, app: 8301, ready: 8302, control: 8303, callers: 8304, metrics: 9190}}
 	s.store = platformtest.NewStore()
 	defer s.close()
 	if err := s.deploy(); err != nil {
@@ -141,7 +141,10 @@
 		v := &vm{soak: s, index: i, name: fmt.Sprintf("vm%02d", i), ip: fmt.Sprintf("%s.%d", network, i+1), service: services[i%len(services)],
 			grace: defaultGrace, oldGrace: defaultGrace, retrySlack: 47, present: true, conns: make(chan *conn, 32)}
 		v.log = filepath.Join(s.dir, v.name+".log")
-		if v.link, err = newLink(s.store.Address()); err != nil {
+		if v.store, err = newLink("127.0.0.1:0", s.store.Address()); err != nil {
+			return err
+		}
+		if v.peers, err = newLink(v.address(v.peerPorts()[1]), v.address(v.peerPorts()[0])); err != nil {
 			return err
 		}
 		v.seeds = []string{fmt.Sprintf("%s.1:%d", network, s.ports.control), fmt.Sprintf("%s.2:%d", network, s.ports.control)}
@@ -176,7 +179,7 @@
 
 func (s *soak) free(network string, n int) bool {
 	for i := range n {
-		for _, port := range []int{s.ports.peers, s.ports.app, s.ports.ready, s.ports.control, s.ports.callers, s.ports.metrics} {
+		for _, port := range []int{s.ports.peers, s.ports.peersLink, s.ports.app, s.ports.ready, s.ports.control, s.ports.callers, s.ports.metrics} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, i+1, port))
 			if err != nil {
 				return false
@@ -293,7 +296,8 @@
 	for _, v := range s.vms {
 		v.kill()
 		v.server.crash()
-		v.link.close()
+		v.store.close()
+		v.peers.close()
 	}
 	s.store.Close()
 }
--- a/harness/soak/vm.go
+++ b/harness/soak/vm.go
@@ -32,7 +32,8 @@
 	ip      string
 	service string
 	server  *server
-	link    *link // to the store
+	store   *link // to the store
+	peers   *link // from half of the other daemons
 	log     string
 	conns   chan *conn // kept connections of the backend server to the daemon
 
@@ -55,6 +56,16 @@
 
 func (v *vm) address(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
 
+// peerPorts returns the port on which the daemon of the VM accepts those of others, and that of the link
+// to it. Half of the VMs have them the other way round: a daemon connects to the port that it listens on
+// itself, so that the connections between the halves pass a link.
+func (v *vm) peerPorts() [2]int {
+	if v.index%2 == 0 {
+		return [2]int{v.soak.ports.peers, v.soak.ports.peersLink}
+	}
+	return [2]int{v.soak.ports.peersLink, v.soak.ports.peers}
+}
+
 func (v *vm) settingsFile() string { return filepath.Join(v.soak.dir, v.name+".json") }
 
 func (v *vm) settings() []byte {
@@ -63,8 +74,8 @@
 	p := v.soak.ports
 	return platformtest.Process{
 		Name: v.name, IP: v.ip, Service: v.service, BackendAddress: v.address(p.app), CallerAddress: v.address(p.callers),
-		PeerAddress: v.address(p.peers), ReadyAddress: v.address(p.ready), ControlAddress: v.address(p.control), Seeds: v.seeds,
-		StoreAddress: v.link.address(), GraceS: v.grace.Seconds(), MemoryMB: memoryMB, RetrySlack: v.retrySlack,
+		PeerAddress: v.address(v.peerPorts()[0]), ReadyAddress: v.address(p.ready), ControlAddress: v.address(p.control), Seeds: v.seeds,
+		StoreAddress: v.store.address(), GraceS: v.grace.Seconds(), MemoryMB: memoryMB, RetrySlack: v.retrySlack,
 	}.SettingsFile()
 }
 
