An idempotent run on a silent VM is given up only if it can be sent elsewhere

Seen by callers: a request of a safe route is answered 502 while its backend server is at work on it, after its VM did not respond for 1 s (paused, or no processor time for a moment). Beside a SIGTERM of the daemon that took it, that is a request broken off.

Cause: the attempt ended when the peer became silent (errSilent), before the dispatcher decided whether the request may be sent again. With no other upstream, the attempts or the retry budget spent, a quarantined request, or a daemon that stops, the decision was 502. Requests that may run once have waited for the reply since they have had a call of their own (callRun).

Change: Dispatcher.CanRepeat says what would follow a lost attempt, with the inputs of the decision itself; a call with the request waits on if it says no. A connection that ends still ends the attempt.

Ruled out: the link being closed by the asking daemon (it stays open while calls are pending).

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -435,7 +435,7 @@
 	if report.Result == Lost {
 		req.lost = true
 	}
-	reason, allowed := d.mayRetry(now, req, report)
+	reason, allowed := d.mayRetry(now, req, report, req.sent)
 	if allowed {
 		if step := d.Next(now, req); step.Code == 0 {
 			d.budget(req.Service).Charge(now, 1)
@@ -470,28 +470,6 @@
 	return step
 }
 
-// mayRetry returns the name of the deciding input, and whether the request may be sent again.
-func (d *Dispatcher) mayRetry(now time.Time, req *OutgoingRequest, report Report) (string, bool) {
-	left := req.Deadline.Sub(now)
-	switch {
-	case d.closed:
-		return "stopping", false
-	case !report.Retryable:
-		return bodySpent, false
-	case report.Quarantined:
-		return quarantined, false
-	case !req.Route.Idempotent && report.Result != Rejected:
-		return "not_idempotent", false
-	case req.sent >= req.Route.MaxUpstreams:
-		return "attempts_spent", false
-	case left < d.averageLatency[req.Route.Name]:
-		return "time_left", false
-	case !d.budget(req.Service).Available(now):
-		return "budget_spent", false
-	}
-	return "repeat", true
-}
-
 // Abandon ends a request whose caller has disconnected while an attempt was under way.
 func (d *Dispatcher) Abandon(req *OutgoingRequest) {
 	s := d.attemptState(req)
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -409,7 +409,7 @@
 		ctx, cancel = context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 	}
-	reply, err := callLink[Reply](ctx, link, "Ask", ask)
+	reply, err := callElsewhere[Reply](ctx, link, func() bool { return ask.Payload == nil || c.canRepeat() }, "Ask", ask)
 	switch {
 	case errors.Is(err, errSilent):
 		c.daemon.workers.Go(func() { link.cancel(ask.ID) }) // writing to a silent peer may block
@@ -419,24 +419,6 @@
 	return reply, err
 }
 
-// resultWithoutReply returns the result of an attempt for which the call to the peer failed.
-// sent says that the call contained the request itself.
-func (c *callerRequest) resultWithoutReply(ctx context.Context, sent bool, err error) dispatch.Result {
-	over := ctx.Err() != nil
-	switch {
-	case errors.Is(err, errUnreachable):
-		return dispatch.NoReply
-	case sent && over:
-		return dispatch.Expired
-	case sent:
-		return dispatch.Lost
-	case over:
-		return dispatch.Unsent
-	default:
-		return dispatch.NoReply
-	}
-}
-
 // deliver passes the answer on to the caller. If the answer is cut short, the caller's
 // connection is closed, so that the answer can't seem complete.
 func (c *callerRequest) deliver(a *pendingAnswer) {
--- /dev/null
+++ b/mesh/lostattempt.go
@@ -0,0 +1,36 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+)
+
+// canRepeat reports whether the request would be sent elsewhere if the attempt under way were lost.
+func (c *callerRequest) canRepeat() bool {
+	isQuarantined := c.daemon.quarantinedFor(c.fingerprint) > 0
+	c.daemon.mu.Lock()
+	defer c.daemon.mu.Unlock()
+	return c.daemon.dispatcher.CanRepeat(time.Now(), c.outgoing, isQuarantined)
+}
+
+// resultWithoutReply returns the result of an attempt for which the call to the peer failed.
+// sent says that the call contained the request itself.
+func (c *callerRequest) resultWithoutReply(ctx context.Context, sent bool, err error) dispatch.Result {
+	over := ctx.Err() != nil
+	switch {
+	case errors.Is(err, errUnreachable):
+		return dispatch.NoReply
+	case sent && over:
+		return dispatch.Expired
+	case sent:
+		return dispatch.Lost
+	case over:
+		return dispatch.Unsent
+	default:
+		return dispatch.NoReply
+	}
+}
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -241,7 +241,18 @@
 		var zero T
 		return zero, errUnreachable
 	}
-	return invokeLink[T](ctx, l, nil, method, args)
+	return invokeLink[T](ctx, l, nil, nil, method, args)
+}
+
+// callElsewhere is callLink for a call that can be made elsewhere if elsewhere reports so when the peer
+// becomes silent. Otherwise it waits for the reply until ctx ends.
+func callElsewhere[T any](ctx context.Context, l *peerLink, elsewhere func() bool, method string, args any) (T, error) {
+	defer l.beginCall()()
+	if l.broken.Load() {
+		var zero T
+		return zero, errUnreachable
+	}
+	return invokeLink[T](ctx, l, l.silent, elsewhere, method, args)
 }
 
 // beginCall counts a pending call and returns the function that ends it. The time without received bytes
@@ -282,27 +293,33 @@
 		var zero T
 		return zero, errUnreachable
 	}
-	return invokeLink[T](ctx, l, l.silent, method, args)
+	return invokeLink[T](ctx, l, l.silent, nil, method, args)
 }
 
-// invokeLink calls a method on a connection. It returns errSilent when giveUp is closed.
-func invokeLink[T any](ctx context.Context, l *peerLink, giveUp <-chan struct{}, method string, args any) (T, error) {
+// invokeLink calls a method on a connection. It returns errSilent when giveUp is closed, unless elsewhere
+// is set and reports false then.
+func invokeLink[T any](ctx context.Context, l *peerLink, giveUp <-chan struct{}, elsewhere func() bool, method string, args any) (T, error) {
 	var zero T
 	reply := new(T)
 	call := l.client.Go(peerService+"."+method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		if call.Error != nil {
-			if _, answered := call.Error.(rpc.ServerError); !answered {
-				l.broken.Store(true)
+	for {
+		select {
+		case <-call.Done:
+			if call.Error != nil {
+				if _, answered := call.Error.(rpc.ServerError); !answered {
+					l.broken.Store(true)
+				}
+				return zero, errors.Wrap(call.Error, method)
+			}
+			return *reply, nil
+		case <-giveUp:
+			if elsewhere == nil || elsewhere() {
+				return zero, errors.Wrap(errSilent, method)
 			}
-			return zero, errors.Wrap(call.Error, method)
+			giveUp = nil
+		case <-ctx.Done():
+			return zero, ctx.Err()
 		}
-		return *reply, nil
-	case <-giveUp:
-		return zero, errors.Wrap(errSilent, method)
-	case <-ctx.Done():
-		return zero, ctx.Err()
 	}
 }
 
