Accept the connections that wait in the listener's queue before a stopping daemon closes it

Cause: the kernel resets what a listener has not accepted when it is closed, and the loop that accepts was not asked to finish. Shutdown uses it for callers. Peers' listeners and `exchange` are closed as before. What remains: a connection that arrives between the last look at the queue and the close is still reset.

--- a/internal/pipeline/arrived_test.go
+++ b/internal/pipeline/arrived_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 )
 
 // heldListener accepts connections whose reads are held: each sends to begun and goes on after a value of
@@ -55,7 +57,7 @@
 	}
 	held := &heldListener{Listener: l, begun: make(chan struct{}), resume: make(chan struct{}), released: make(chan struct{})}
 	s := &Server{Handler: &recorder{}, Limits: limits, Reject: func(net.Addr, int, error) {}}
-	go s.Serve(held, func(error) {})
+	go s.Serve(acceptloop.New(held), func(error) {})
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -68,10 +68,10 @@
 	handlers sync.WaitGroup
 }
 
-// Serve accepts connections until the listener is closed. acceptFailed is called for the first of a
-// series of failed attempts to accept one.
-func (s *Server) Serve(l net.Listener, acceptFailed func(error)) {
-	acceptloop.Run(l, s.startConn, acceptFailed)
+// Serve accepts connections until the loop or its listener is closed. acceptFailed is called for the first
+// of a series of failed attempts to accept one.
+func (s *Server) Serve(l *acceptloop.Loop, acceptFailed func(error)) {
+	l.Run(s.startConn, acceptFailed)
 }
 
 func (s *Server) startConn(netConn net.Conn) {
@@ -125,8 +125,8 @@
 }
 
 // Drain closes each connection as soon as no request on it is being read, handled or answered,
-// and waits until all are closed or the deadline is over. It does not stop Serve, so the
-// listener must be closed first.
+// and waits until all are closed or the deadline is over. It does not stop Serve, so the loop
+// must be closed first.
 func (s *Server) Drain(deadline time.Time) {
 	for !s.closeIfUnused() {
 		for _, c := range s.openConns() {
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 )
 
 // recorder is a handler that records the requests it handles.
@@ -65,7 +67,7 @@
 		t.Fatal(err)
 	}
 	s = &Server{Handler: h, Limits: limits, Reject: func(net.Addr, int, error) {}}
-	go s.Serve(l, func(error) {})
+	go s.Serve(acceptloop.New(l), func(error) {})
 	t.Cleanup(func() {
 		_ = l.Close()
 		s.Close()
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 )
 
 // readAll returns the bodies of the responses that arrive until the connection ends or no further
@@ -87,7 +89,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		s := &Server{Handler: &recorder{}, Limits: func() Limits { return Limits{IdleTimeout: time.Second} }, Reject: func(net.Addr, int, error) {}}
-		go s.Serve(hookListener{l, func() { s.Drain(time.Now()) }}, func(error) {})
+		go s.Serve(acceptloop.New(hookListener{l, func() { s.Drain(time.Now()) }}), func(error) {})
 		defer s.Close()
 		defer l.Close()
 		s.Stop()
@@ -109,7 +111,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		s := &Server{Handler: handler, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
-		go s.Serve(l, func(error) {})
+		go s.Serve(acceptloop.New(l), func(error) {})
 		s.Stop()
 		c, err := net.Dial("tcp", l.Addr().String())
 		So(err, ShouldBeNil)
@@ -157,7 +159,7 @@
 		h := &recorder{}
 		s := &Server{Handler: h, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
 		l := queueListener{conns: make(chan net.Conn)}
-		go s.Serve(l, func(error) {})
+		go s.Serve(acceptloop.New(l), func(error) {})
 		defer close(l.conns)
 		s.Close()
 		caller, accepted := net.Pipe()
@@ -183,7 +185,7 @@
 			_, _ = io.WriteString(w, "second")
 		})}
 		s.Stop()
-		go s.Serve(l, func(error) {})
+		go s.Serve(acceptloop.New(l), func(error) {})
 		defer s.Close()
 		c, err := net.Dial("tcp", l.Addr().String())
 		So(err, ShouldBeNil)
@@ -227,7 +229,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		s := &Server{Handler: &recorder{}, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
-		go s.Serve(hastyListener{l}, func(error) {})
+		go s.Serve(acceptloop.New(hastyListener{l}), func(error) {})
 		defer s.Close()
 		defer l.Close()
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -261,7 +263,7 @@
 			time.Sleep(2 * hastyWrite)
 			_, _ = w.Write(nil)
 		})}
-		go s.Serve(hastyListener{l}, func(error) {})
+		go s.Serve(acceptloop.New(hastyListener{l}), func(error) {})
 		defer s.Close()
 		defer l.Close()
 		c, err := net.Dial("tcp", l.Addr().String())
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
 	"github.com/hawthornpoint/hawthornpoint/core/watchers"
+	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/internal/telemetry"
 	"github.com/hawthornpoint/hawthornpoint/internal/workgroup"
@@ -166,13 +167,12 @@
 	starting     context.Context
 	stopStarting context.CancelFunc
 
-	ctx       context.Context
-	workers   *workgroup.Group
-	callers   pipeline.Server
-	servers   []*http.Server
-	listeners []net.Listener
-	// callerListener is the one of listeners that accepts the connections of callers.
-	callerListener net.Listener
+	ctx        context.Context
+	workers    *workgroup.Group
+	callers    pipeline.Server
+	servers    []*http.Server
+	listeners  []net.Listener
+	callerLoop *acceptloop.Loop // accepts the connections of callers
 }
 
 // New returns a daemon with the given options. Start opens its listeners.
@@ -278,7 +278,7 @@
 	if err != nil {
 		return err
 	}
-	d.callerListener = l
+	d.callerLoop = acceptloop.New(l)
 	d.callers.Handler = http.HandlerFunc(d.serveCaller)
 	d.callers.Limits = d.callerLimits
 	d.callers.Reject = func(remote net.Addr, status int, err error) {
@@ -286,7 +286,7 @@
 		d.log.Info(eventNotParsed, zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
 	}
 	d.callers.Panicked = func(v any) { d.logPanic(panicConnection, "", v) }
-	d.workers.Go(func() { d.callers.Serve(l, d.acceptFailed(d.settings.CallerAddress)) })
+	d.workers.Go(func() { d.callers.Serve(d.callerLoop, d.acceptFailed(d.settings.CallerAddress)) })
 	return nil
 }
 
@@ -431,7 +431,7 @@
 		}
 		time.Sleep(tickInterval)
 	}
-	_ = d.callerListener.Close()
+	d.callerLoop.Close()
 	d.endAttempts()
 	d.callers.Drain(cutoff)
 	for time.Now().Before(cutoff) && !d.idle(time.Now()) {
