A paused VM does not end the connection on which its runs wait

What callers saw: 502 at once for all runs at a VM, and all uploads to it, when its daemon got no processor time for one to two seconds while much was sent to it; it would have answered afterwards.

Cause: a write to a peer that took a second ended the connection, which all runs there share; and so did TCP_USER_TIMEOUT of 2 s, which on Linux also counts the time in which the receiver's buffer is full although its system acknowledges every probe. callRun says that a run is not given up because its peer is silent.

Evidence: TestRunsOnVMThatIsPausedWhileMuchIsSent on, real sockets, mesh.Dial: eight uploads that had a slot, pause of 2.5 s, 2.4 s left of each deadline: 8 of 8 got 502 in the same 2 ms, 2.0 s after the pause began, result=lost. With a send buffer of 16 KB they got it after 1 s. Also found: TestPeerThatAnswersNoShortCall. On a connection whose peer answers nothing, 13 calls of 300 ms in 4 s failed without a second connection being opened: each ended before the second after which a peer counts as silent.

Change: a write to a peer takes what the connection's buffer takes and queues the rest, which a goroutine writes. Neither the connection nor a caller's deadline depends on it any more. From 1 MB of unsent bytes on, no new request is sent on the connection; what has a slot is, bounded by the slots. TCP_USER_TIMEOUT of these connections is a minute. In its place core/peerlink counts a connection as silent also when nothing has come for 2 s after something was sent, whether or not a call still waits. The line `peer connection ended` tells why a connection ended, and how many calls were on it.

Ruled out: no end of a connection by its write alone, with blocking writes: callers, and the goroutine that watches the connection, would wait behind it beyond their deadlines.

--- a/core/peerlink/peerlink.go
+++ b/core/peerlink/peerlink.go
@@ -16,6 +16,9 @@
 	// tested with a ping, and silentAfter how long before it counts as silent.
 	pingAfter   = 250 * time.Millisecond
 	silentAfter = time.Second
+	// unansweredAfter is how long nothing may be received after bytes were sent until a connection counts as
+	// silent although no call is pending: calls that end before silentAfter tell nothing else.
+	unansweredAfter = 2 * time.Second
 	// idleTimeout is how long a connection without calls is kept.
 	idleTimeout = time.Minute
 	// lateCheck is the time between two checks from which this process has been paused itself. What
@@ -44,21 +47,29 @@
 	resumed   time.Time // when this process noticed that it had been paused
 }
 
-// Check returns the state of a connection that last received bytes, or began to wait for some, at the
-// given time. It is called in each CheckInterval.
-func (m *Monitor) Check(now, received time.Time, pending int64) Verdict {
+// Traffic is what is known of a connection.
+type Traffic struct {
+	// Received is when bytes were received, or began to be waited for, most recently.
+	Received time.Time
+	// Unanswered is when the first bytes were sent after the latest ones were received, zero if none were.
+	Unanswered time.Time
+	// Pending is the number of calls that wait for a reply.
+	Pending int64
+}
+
+// Check returns the state of a connection. It is called in each CheckInterval.
+func (m *Monitor) Check(now time.Time, t Traffic) Verdict {
 	if !m.lastCheck.IsZero() && now.Sub(m.lastCheck) > lateCheck {
 		m.resumed = now
 	}
 	m.lastCheck = now
-	if m.resumed.After(received) {
-		received = m.resumed
-	}
-	quiet := now.Sub(received)
+	quiet := now.Sub(later(t.Received, m.resumed))
 	switch {
-	case pending == 0 && quiet > idleTimeout:
+	case !t.Unanswered.IsZero() && now.Sub(later(t.Unanswered, m.resumed)) > unansweredAfter:
+		return Silent
+	case t.Pending == 0 && quiet > idleTimeout:
 		return Idle
-	case pending == 0:
+	case t.Pending == 0:
 		return Alive
 	case quiet > silentAfter:
 		return Silent
@@ -67,3 +78,10 @@
 	}
 	return Alive
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -410,10 +410,7 @@
 		defer cancel()
 	}
 	reply, err := callLink[Reply](ctx, link, "Ask", ask)
-	switch {
-	case errors.Is(err, errSilent):
-		c.daemon.workers.Go(func() { link.cancel(ask.ID) }) // writing to a silent peer may block
-	case err != nil && ctx.Err() != nil:
+	if errors.Is(err, errSilent) || err != nil && ctx.Err() != nil {
 		link.cancel(ask.ID)
 	}
 	return reply, err
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -25,6 +25,8 @@
 	eventOutdated           = "upstream entry outdated"
 	eventRemoved            = "upstream removed"
 	eventExpired            = "upstream gone"
+	eventPeerLinkEnded      = "peer connection ended"
+	eventTimeoutKept        = "peer connection keeps its time limit"
 	eventPeerSilent         = "peer connection silent"
 	eventPeerReplyUnwritten = "reply to peer not delivered"
 	eventPeerMessageLong    = "peer message too long"
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -18,8 +18,6 @@
 	// peerDialTimeout limits the time for opening a connection to another daemon. It covers
 	// several round trips inside a region, but not the retransmission of a lost first packet.
 	peerDialTimeout = 400 * time.Millisecond
-	// peerTimeout limits the time of one write to a peer.
-	peerTimeout = time.Second
 	// askTimeout limits the time for the reply to a request for a slot that may not be queued.
 	askTimeout = 500 * time.Millisecond
 )
@@ -43,34 +41,37 @@
 // peerLink is one connection to a peer.
 type peerLink struct {
 	client       *rpc.Client
+	writer       *peerWriter
 	epoch        time.Time
 	lastReceived atomic.Int64 // time of the latest received bytes, in ns after epoch
+	unanswered   atomic.Int64 // time of the first bytes sent since then, in ns after epoch; 0 for none
 	pending      atomic.Int64 // number of pending calls
 	// broken says that no further calls are made on the connection: it has ended or is silent.
 	broken atomic.Bool
 	// silent is closed when the peer has stopped responding. Calls that can be made elsewhere then end.
 	silent chan struct{}
 	// ended says that the connection has ended.
-	ended   atomic.Bool
+	ended atomic.Bool
+	// closed says that this daemon closes the connection.
+	closed  atomic.Bool
 	pinging bool // a ping has not been answered; used by watch only
 }
 
-// notifyConn calls onReceive when bytes arrive, and onEnd when the connection ends. It does so
-// before net/rpc notices the end, so that a call that finds the connection open was sent.
+// notifyConn calls onSend when bytes are sent, onReceive when bytes arrive, and onEnd when the connection
+// ends. It does so before net/rpc notices the end, so that a call that finds the connection open was sent.
 type notifyConn struct {
 	net.Conn
-	onReceive, onEnd func()
+	writer            *peerWriter
+	onSend, onReceive func()
+	onEnd             func(error)
 }
 
-// Write implements net.Conn. A write that takes longer than peerTimeout ends the connection:
-// writers would otherwise be blocked beyond the deadlines of their calls.
+// Write implements net.Conn. It does not block.
 func (c *notifyConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(peerTimeout)); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Write(p)
+	c.onSend()
+	n, err := c.writer.Write(p)
 	if err != nil {
-		c.onEnd()
+		c.onEnd(err)
 	}
 	return n, err
 }
@@ -82,7 +83,7 @@
 		c.onReceive()
 	}
 	if err != nil {
-		c.onEnd()
+		c.onEnd(err)
 	}
 	return n, err
 }
@@ -140,9 +141,18 @@
 	if err != nil {
 		return nil, err
 	}
+	// Runs wait for a peer that is paused. Monitor keeps other calls from waiting.
+	if err := setUnackedTimeout(c, lateReadTimeout); err != nil {
+		d.log.Warn(eventTimeoutKept, zap.String("peer", p.address), errorField(err))
+	}
 	link := &peerLink{epoch: d.started, silent: make(chan struct{})}
 	link.markReceived()
-	link.client = rpc.NewClient(&notifyConn{Conn: d.limitMessages(c), onReceive: link.markReceived, onEnd: link.markEnded})
+	ended := func(err error) { p.linkEnded(link, err) }
+	link.writer = newPeerWriter(c, d.workers.Go, func(err error) {
+		ended(err)
+		_ = c.Close() // ends the calls that wait for their replies
+	})
+	link.client = rpc.NewClient(&notifyConn{Conn: d.limitMessages(c), writer: link.writer, onSend: link.markSent, onReceive: link.markReceived, onEnd: ended})
 	d.workers.Go(func() { p.watch(link) })
 	return link, nil
 }
@@ -166,7 +176,8 @@
 		if link.broken.Load() && (!silent || pending == 0 || link.ended.Load()) {
 			return
 		}
-		switch received := link.received(); monitor.Check(time.Now(), received, pending) {
+		received := link.received()
+		switch monitor.Check(time.Now(), peerlink.Traffic{Received: received, Unanswered: link.unansweredSince(), Pending: pending}) {
 		case peerlink.Idle:
 			return
 		case peerlink.Silent:
@@ -204,15 +215,34 @@
 // received returns when bytes were received, or began to be waited for, most recently.
 func (l *peerLink) received() time.Time { return l.epoch.Add(time.Duration(l.lastReceived.Load())) }
 
-func (l *peerLink) markEnded() {
+// unansweredSince returns when the first bytes were sent after the latest ones were received, zero if none were.
+func (l *peerLink) unansweredSince() time.Time {
+	if sent := l.unanswered.Load(); sent != 0 {
+		return l.epoch.Add(time.Duration(sent))
+	}
+	return time.Time{}
+}
+
+// linkEnded records the end of a connection. Calls that wait for a reply then end without one.
+func (p *peer) linkEnded(l *peerLink, err error) {
 	l.broken.Store(true)
-	l.ended.Store(true)
+	if l.ended.Swap(true) || l.closed.Load() {
+		return
+	}
+	p.daemon.log.Info(eventPeerLinkEnded, zap.String("peer", p.address), zap.Int64("calls", l.pending.Load()),
+		zap.Int("queued", l.writer.queuedBytes()), zap.Duration("quiet", time.Since(l.received())), errorField(err))
 }
 
-func (l *peerLink) markReceived() { l.lastReceived.Store(int64(time.Since(l.epoch))) }
+func (l *peerLink) markSent() { l.unanswered.CompareAndSwap(0, int64(time.Since(l.epoch))) }
+
+func (l *peerLink) markReceived() {
+	l.lastReceived.Store(int64(time.Since(l.epoch)))
+	l.unanswered.Store(0)
+}
 
 func (l *peerLink) close() {
 	l.broken.Store(true)
+	l.closed.Store(true)
 	_ = l.client.Close()
 }
 
@@ -248,37 +278,21 @@
 // counts from the first pending call.
 func (l *peerLink) beginCall() (end func()) {
 	if l.pending.Add(1) == 1 {
-		l.markReceived()
+		l.lastReceived.Store(int64(time.Since(l.epoch)))
 	}
 	return func() { l.pending.Add(-1) }
 }
 
 // longPollLink is callLink for a call whose reply may take long. The call does not count as
-// pending, so that the connection is not tested for it. Even if writing to the connection
-// blocks, longPollLink returns when ctx ends.
+// pending, so that the connection is not tested for it.
 func longPollLink[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
-	type result struct {
-		reply T
-		err   error
-	}
-	done := make(chan result, 1)
-	go func() {
-		r, err := invokeUnlessBroken[T](ctx, l, method, args)
-		done <- result{r, err}
-	}()
-	select {
-	case r := <-done:
-		return r.reply, r.err
-	case <-ctx.Done():
-		var zero T
-		return zero, ctx.Err()
-	}
+	return invokeUnlessBroken[T](ctx, l, method, args)
 }
 
 // invokeUnlessBroken calls a method on a connection without counting the call as pending. It returns
-// errUnreachable if the connection has ended or is silent, and errSilent when it becomes silent.
+// errUnreachable if the connection has ended, is silent or has too much to send, and errSilent when it becomes silent.
 func invokeUnlessBroken[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
-	if l.broken.Load() {
+	if l.broken.Load() || l.writer.queuedBytes() > maxQueuedBytes {
 		var zero T
 		return zero, errUnreachable
 	}
