callgraph: a daemon that has just started does not say that calls are requests of clients

Cause: the daemon beside an upstream infers from the requests that arrive there which kinds are calls, and says so in each reply. Reply.Call was false also when it had too few requests to tell, which is so after each start (36 requests of a kind in a zone with four services), and the receiver took that for a statement.

Change: callgraph.Observer.Classify tells unknown, client and call apart, and a reply says CallUnknown. The receiver then keeps what it knew. A daemon of the previous release sends no CallUnknown, and is understood as before.

Ruled out: keeping the counts over a restart. There is no disk, and the counts of before a restart may be of another call graph.

--- a/core/callgraph/callgraph.go
+++ b/core/callgraph/callgraph.go
@@ -58,16 +58,37 @@
 	}
 }
 
-// IsCall reports whether requests of the kind are calls made by upstreams.
-func (o *Observer) IsCall(kind string) bool {
+// Origin says where the requests of a kind come from.
+type Origin uint8
+
+// Origins of Classify.
+const (
+	// Unknown: too few requests were observed.
+	Unknown Origin = iota
+	// Client: clients send them.
+	Client
+	// Call: upstreams make them while they run other requests.
+	Call
+)
+
+// Classify returns the origin of the requests of a kind.
+func (o *Observer) Classify(kind string) Origin {
 	counts := o.kinds[kind]
 	seen := sum(counts)
+	origin := Client
 	for service, n := range o.vms {
-		if counts[service] == 0 && seen*n >= minExpected*o.totalVMs {
-			return true
+		switch {
+		case n == 0 || counts[service] > 0:
+		case seen*n >= minExpected*o.totalVMs:
+			return Call
+		default:
+			origin = Unknown
 		}
 	}
-	return false
+	if seen == 0 {
+		return Unknown
+	}
+	return origin
 }
 
 func sum(counts map[string]int) int {
--- a/core/callgraph/callgraph_test.go
+++ b/core/callgraph/callgraph_test.go
@@ -17,15 +17,16 @@
 			o.Observe("client", services[random.IntN(4)])
 			o.Observe("call", "b")
 		}
-		So(o.IsCall("client"), ShouldBeFalse)
-		So(o.IsCall("call"), ShouldBeTrue)
-		Convey("a kind with too few requests is not a call", func() {
+		So(o.Classify("client"), ShouldEqual, Client)
+		So(o.Classify("call"), ShouldEqual, Call)
+		Convey("a kind with too few requests is neither", func() {
 			o.Observe("new", "a")
-			So(o.IsCall("new"), ShouldBeFalse)
+			So(o.Classify("new"), ShouldEqual, Unknown)
+			So(o.Classify("never seen"), ShouldEqual, Unknown)
 		})
 		Convey("a service without VMs is not expected to send requests", func() {
 			o.SetOriginVMs(map[string]int{"b": 3})
-			So(o.IsCall("call"), ShouldBeFalse)
+			So(o.Classify("call"), ShouldEqual, Client)
 		})
 	})
 }
--- a/mesh/loadshed.go
+++ b/mesh/loadshed.go
@@ -46,13 +46,13 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.callRoutes[route.Name] != reply.Call {
+	if !reply.CallUnknown && d.callRoutes[route.Name] != reply.Call {
 		d.callRoutes[route.Name] = reply.Call
 	}
 	if len(reply.Blocked) == 0 {
 		return
 	}
-	if !reply.Call {
+	if !d.callRoutes[route.Name] {
 		d.gate.Observe(now, service, reply.Blocked)
 		return
 	}
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/callgraph"
 	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
@@ -221,9 +222,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	origin := d.callGraph.Classify(a.kind)
 	return Reply{
 		Outcome: outcome, Reason: string(decision.Reason), Wait: decision.Wait,
-		Load: d.limiter.Load(), Call: d.callGraph.IsCall(a.kind), Blocked: d.callMeter.Shares(now), State: d.state(),
+		Load: d.limiter.Load(), Call: origin == callgraph.Call, CallUnknown: origin == callgraph.Unknown, Blocked: d.callMeter.Shares(now), State: d.state(),
 		Leaving: d.dir.StatedLeaving(a.instance), Reports: d.crashes.ReportsOf(a.fingerprint),
 	}
 }
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -126,8 +126,9 @@
 	// Answer is set for OutcomeAnswered.
 	Answer *Answer
 	// Call says that requests of the kind are calls that upstreams make while they run other
-	// requests.
-	Call bool
+	// requests. CallUnknown says that the daemon, which may have started recently, has received too
+	// few to tell.
+	Call, CallUnknown bool
 	// Blocked holds the blocked shares of the upstream's calls, by service.
 	Blocked []loadshed.Share
 	// Reports are crash reports of requests with the fingerprint of this one.
