fleetclock: judge the start of an upstream by the fleet's time of day, not by one VM's

Callers would see: a VM whose clock is minutes behind answers everything with 503, as long as it runs.

Cause: directory.Check refuses an entry that starts more than a minute in the future of the reader's own clock, since one that starts later supersedes the others at its address. A reader whose clock is behind by more refuses every upstream that has started since, and never reads the entry again unless it changes, which it does only at a drain.

Evidence: TestClockBehindTheStartsOfUpstreams, one of three VMs 5 minutes behind, on with the clock as an option: "condition not met within 5s: all upstreams are known"; it knew none.

Change: daemons state their time of day in pings and in replies to followers. core/fleetclock takes the median of the own clock and up to 15 stated ones, by the monotonic clock, so that a step of the own clock does not matter either. Entries are decoded by that time; one that starts in the future is kept and read again once a second, while the daemon asks peers, seeds and the daemons beside such entries for their clocks. Entries with a start in the far future stay refused (TestDecodeOddEntries is unchanged). A daemon of an earlier release states no clock and is left out.

Cost: none per request; 9 bytes in a ping and in a follower's reply.

Ruled out: a wider bound (an hour would pass the odd entries of TestDecodeOddEntries); the latest start in the store as the clock (a VM that restarts alone is then still refused).

--- a/core/directory/check.go
+++ b/core/directory/check.go
@@ -16,7 +16,8 @@
 	maxNameBytes = 200
 	// maxSlots exceeds the connections that a VM can hold; sums over a fleet stay far below 2^63.
 	maxSlots = 1 << 20
-	// maxClockAhead bounds how far a start may be in the future. Clocks of VMs differ by seconds. An
+	// maxClockAhead bounds how far a start may be in the future of the fleet's time of day. Clocks of
+	// VMs differ by seconds. An
 	// entry that starts later would supersede all true ones at its address.
 	maxClockAhead = time.Minute
 	// maxSequence is the largest number that all JSON decoders read exactly. At one entry in each
@@ -26,8 +27,12 @@
 	maxWarmUp = time.Hour
 )
 
+// ErrFutureStart is the error of Check for an upstream of which only the start can't be, because it is in
+// the future. It may be seen from a clock that is behind, so that the entry may be valid later.
+var ErrFutureStart = errors.New("start in the future")
+
 // Check returns an error if a field has a value that no upstream can have, which names the field. now
-// is the time at which the entry was read.
+// is the time of day at which the entry was read.
 func (u Upstream) Check(now time.Time) error {
 	for _, name := range []struct{ field, value string }{{"id", u.ID}, {"service", u.Service}, {"zone", u.Zone}, {"version", u.Version}} {
 		if len(name.value) > maxNameBytes {
@@ -41,14 +46,20 @@
 		return errors.New("service: missing")
 	case u.Slots < 1 || u.Slots > maxSlots:
 		return errors.Errorf("slots: %d is not between 1 and %d", u.Slots, maxSlots)
-	case u.Incarnation < 0 || u.Incarnation > now.Add(maxClockAhead).UnixMilli():
-		return errors.Errorf("incarnation: start at %d ms is negative or in the future", u.Incarnation)
+	case u.Incarnation < 0:
+		return errors.Errorf("incarnation: start at %d ms is negative", u.Incarnation)
 	case u.Sequence < 0 || u.Sequence > maxSequence:
 		return errors.Errorf("sequence: %d is not between 0 and %d", u.Sequence, maxSequence)
 	case u.WarmAt.After(now.Add(maxWarmUp)):
 		return errors.Errorf("warm-up: longer than %s", maxWarmUp)
 	}
-	return checkAddress(u.Address)
+	if err := checkAddress(u.Address); err != nil {
+		return err
+	}
+	if u.Incarnation > now.Add(maxClockAhead).UnixMilli() {
+		return errors.Wrapf(ErrFutureStart, "incarnation: %d ms", u.Incarnation)
+	}
+	return nil
 }
 
 // unprintable reports whether a character is not a visible ASCII character.
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/callgraph"
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+	"github.com/hawthornpoint/hawthornpoint/core/fleetclock"
 	"github.com/hawthornpoint/hawthornpoint/core/loadshed"
 	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
@@ -92,6 +93,8 @@
 	Rand    *rand.Rand
 	Listen  func(network, address string) (net.Listener, error)
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	// TimeOfDay returns the time of day of the VM; nil is time.Now.
+	TimeOfDay func() time.Time
 }
 
 // Daemon is one running daemon. Its methods are safe for concurrent use.
@@ -130,6 +133,7 @@
 	watchingBackend  bool                // whether watchBackend runs
 	unsentReports    []quarantine.Report // crash reports to be sent to peers
 	exchanges        quarantine.Exchanges
+	clock            fleetclock.Clock
 	callGraph        *callgraph.Observer
 	callMeter        *loadshed.Meter // blocked shares of the calls of the local backend server
 	entryMeter       *loadshed.Meter // blocked shares of new requests of callers
@@ -155,6 +159,7 @@
 	// of the store and of peers take effect in the order in which the replica accepts them. It is
 	// locked before mu.
 	applyMu sync.Mutex
+	future  map[string]StoredItem // entries that start in the future, by key; guarded by applyMu
 
 	peersMu sync.Mutex // guards peers
 	peers   map[string]*peer
@@ -192,6 +197,9 @@
 	if opts.Dial == nil {
 		opts.Dial = Dial
 	}
+	if opts.TimeOfDay == nil {
+		opts.TimeOfDay = time.Now
+	}
 	settings := opts.Settings
 	d := &Daemon{
 		opts: opts, settings: settings, log: opts.Logger, convention: opts.HeaderConvention,
@@ -200,6 +208,7 @@
 		callGraph: callgraph.New(), callMeter: loadshed.NewMeter(), entryMeter: loadshed.NewMeter(), gate: loadshed.NewGate(opts.Rand.Float64), callRoutes: make(map[string]bool),
 		splitter: routing.Splitter{Rand: opts.Rand},
 		sources:  watchers.New(watchers.Daemon{Address: settings.BackendAddress, Zone: settings.Zone}), changed: make(chan struct{}),
+		future:  make(map[string]StoredItem),
 		waiting: make(map[uint64]*localAttempt), peers: make(map[string]*peer), wakeSync: make(chan struct{}, 1),
 		crashes: quarantine.New(quarantine.Config{}), wakeReports: make(chan struct{}, 1),
 	}
@@ -232,6 +241,7 @@
 		return err
 	}
 	d.workers.Go(d.tickLoop)
+	d.workers.Go(d.futureLoop)
 	d.workers.Go(d.storeLoop)
 	d.workers.Go(d.peerLoop)
 	d.workers.Go(d.reportLoop)
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -18,6 +18,7 @@
 	eventSourceFailed    = "source failed"
 	eventUpdated         = "replica updated"
 	eventUnreadableItem  = "item not readable"
+	eventFutureReached   = "entry no longer starts in the future"
 	eventConfig          = "configuration in force"
 	eventConfigRefused   = "configuration refused"
 	eventListed          = "upstream listed"
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -69,6 +69,7 @@
 		// The store may be unavailable to the source alone, so reply.Doubtful is not adopted.
 		d.sources.Exclude(now, source)
 	} else {
+		d.observeClock(d.peerAddress(source), now, reply.Clock)
 		d.dir.ExtendGrace(now, reply.Doubtful)
 		d.stopWatching()
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -196,6 +196,8 @@
 	// Doubtful is how long entries that the store does not list may still belong to running
 	// upstreams, because the store was unavailable.
 	Doubtful time.Duration
+	// Clock is the time of day of the daemon's VM in Unix milliseconds.
+	Clock int64
 }
 
 // ReportsArgs carries crash reports. With Exchange set, the peer's reports are requested.
@@ -212,10 +214,13 @@
 	State replica.State
 	// From is the address of the backend server on the sender's VM.
 	From string
+	// Clock is the time of day of the sender's VM in Unix milliseconds.
+	Clock int64
 }
 
 // PingReply answers a ping, and other messages whose reply has no content.
 type PingReply struct {
-	// State is that of the daemon.
+	// State is that of the daemon, and Clock the time of day of its VM in Unix milliseconds.
 	State replica.State
+	Clock int64
 }
--- a/mesh/panics.go
+++ b/mesh/panics.go
@@ -104,16 +104,16 @@
 	*err = errPanicked
 }
 
-// decode decodes an item of the store. A panic is an error: the item may be read again after each start,
+// decodeAt decodes an item of the store at a time of day. A panic is an error: the item may be read again after each start,
 // so that the process would end again and again.
-func (d *Daemon) decode(now time.Time, item replica.Item) (change Change, err error) {
+func (d *Daemon) decodeAt(timeOfDay time.Time, item replica.Item) (change Change, err error) {
 	defer func() {
 		if v := recover(); v != nil {
 			d.logPanic(panicItem, item.Key, v)
 			change, err = Change{}, errPanicked
 		}
 	}()
-	return d.opts.Decoder.Decode(now, item)
+	return d.opts.Decoder.Decode(timeOfDay, item)
 }
 
 func (d *Daemon) logPanic(where, id string, v any) {
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -222,7 +222,10 @@
 	}
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.State = c.daemon.state()
+	if args.From != "" {
+		c.daemon.observeClock(c.daemon.peerAddress(args.From), time.Now(), args.Clock)
+	}
+	reply.State, reply.Clock = c.daemon.state(), c.daemon.statedTime()
 	return nil
 }
 
@@ -232,6 +235,7 @@
 		c.daemon.notePeerState(args.Since, c.daemon.peerAddress(args.From))
 	}
 	*reply = c.daemon.awaitChanges(c.ctx, args.Since, min(args.Wait, maxFollowWait))
+	reply.Clock = c.daemon.statedTime()
 	return nil
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -230,6 +230,7 @@
 	}
 	for _, item := range replica.Latest(changed) {
 		change, err := d.decode(now, item)
+		d.noteFuture(StoredItem{Item: item, Era: at.Era}, err)
 		if err != nil {
 			d.metrics.Count(metricUnreadableItems)
 			d.log.Warn(eventUnreadableItem, zap.String("key", item.Key), zap.Int("bytes", len(item.Value)),
@@ -249,13 +250,13 @@
 func (d *Daemon) notifyPeers() {
 	d.mu.Lock()
 	addresses := d.randomPeers(notifiedPeers)
-	args := &PingArgs{State: d.state(), From: d.settings.BackendAddress}
+	args := d.pingArgs()
 	d.mu.Unlock()
 	for _, address := range addresses {
 		d.workers.Go(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 			defer cancel()
-			reply, err := callPeer[PingReply](ctx, d.peer(address), "Ping", args)
+			reply, err := d.ping(ctx, address, args)
 			if err != nil {
 				d.metrics.Count(metricFailedNotices)
 				return
