--- a/mesh/message.go
+++ b/mesh/message.go
@@ -126,8 +126,9 @@
 	// Answer is set for OutcomeAnswered.
 	Answer *Answer
 	// Call says that requests of the kind are calls that upstreams make while they run other
-	// requests.
-	Call bool
+	// requests. CallUnknown says that the daemon, which may have started recently, has received too
+	// few to tell.
+	Call, CallUnknown bool
 	// Blocked holds the blocked shares of the upstream's calls, by service.
 	Blocked []loadshed.Share
 	// Reports are crash reports of requests with the fingerprint of this one.
@@ -195,6 +196,8 @@
 	// Doubtful is how long entries that the store does not list may still belong to running
 	// upstreams, because the store was unavailable.
 	Doubtful time.Duration
+	// Clock is the time of day of the daemon's VM in Unix milliseconds.
+	Clock int64
 }
 
 // ReportsArgs carries crash reports. With Exchange set, the peer's reports are requested.
@@ -211,10 +214,13 @@
 	State replica.State
 	// From is the address of the backend server on the sender's VM.
 	From string
+	// Clock is the time of day of the sender's VM in Unix milliseconds.
+	Clock int64
 }
 
 // PingReply answers a ping, and other messages whose reply has no content.
 type PingReply struct {
-	// State is that of the daemon.
+	// State is that of the daemon, and Clock the time of day of its VM in Unix milliseconds.
 	State replica.State
+	Clock int64
 }
