A start waits for an address that is still in use

Would be seen: a process whose address is still held, by the process before that the kernel is removing, or by an outgoing connection that got the port as its local port, ended with "listen on ...: address already in use" and exit code 1: a process that ends by itself.

Evidence: TestAddressInUseAtStart on the code before, each part alone: "the daemon is not ready" after 15 s, with a listener on the ready and the callers' address for 0.5 and 1 s, and with a connection whose local port is the callers' port for 0.5 s; the daemon with the product's own interface was not serving 15 s after its callers' address had been free again.

Change: Start of mesh opens all listeners before it serves any and keeps none if one fails, so that it may be called again; both commands repeat it as they do the reading of the settings (core/startup: each 0.1 s for 30 s, a line `start delayed` per new error, SIGTERM ends the process with exit code 0). While it waits no address answers: a connection is refused, rather than held without a reader. A failed Start of package daemon left listeners open that its servers did not serve yet, for up to 1 s, so that its own next attempt would have met them; it closes them now.

After: the daemon serves in each of these cases, and the tests of signals and starts pass with the race detector; mesh, daemon, platform, internal pass with the race detector (platform 304 s at load average 20 to 45).

Not told apart: errors that do not pass (permission denied, an address of another machine) also end the start only after 30 s; they are named in the first line. The address of a VM's interface that comes up late is such an error, and passes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,13 +73,14 @@
 	calls map[uuid.UUID]*callSignals
 	rand  *rand.Rand
 
-	peers    *http.Transport
-	backend  *http.Transport
-	platform *http.Transport
-	control  *exchange.Client
-	exchange *exchange.Server
-	servers  []*http.Server
-	addrs    map[string]net.Addr
+	peers     *http.Transport
+	backend   *http.Transport
+	platform  *http.Transport
+	control   *exchange.Client
+	exchange  *exchange.Server
+	servers   []*http.Server
+	listeners []net.Listener
+	addrs     map[string]net.Addr
 
 	configured     chan struct{} // closed when a configuration is in force
 	configuredOnce sync.Once
@@ -160,7 +161,7 @@
 func (d *Daemon) Start() error {
 	d.node = d.newNode(time.Now())
 	if err := d.listen(); err != nil {
-		d.closeAll()
+		d.Close()
 		return err
 	}
 	d.mu.Lock()
@@ -317,6 +318,10 @@
 	if d.exchange != nil {
 		_ = d.exchange.Close()
 	}
+	// A server that does not serve yet does not close its listener.
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
 	d.control.Close()
 	d.closeIdleConnections()
 }
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -43,6 +43,7 @@
 		return nil, errors.Wrapf(err, "listener %s", name)
 	}
 	d.addrs[name] = l.Addr()
+	d.listeners = append(d.listeners, l)
 	return netutil.LimitListener(l, d.set.Limits.MaxConnections), nil
 }
 
--- a/harness/e2e/start_wait_test.go
+++ b/harness/e2e/start_wait_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"net"
 	"net/http"
 	"os"
 	"syscall"
@@ -42,3 +43,61 @@
 		So(s.process.logs.String(), ShouldContainSubstring, s.settingsFile)
 	})
 }
+
+// Guards against a process that ends because an address that it listens on is in use for a while.
+func TestAddressInUseAtStart(t *testing.T) {
+	listener := func(address string) func() {
+		l, err := net.Listen("tcp", address)
+		So(err, ShouldBeNil)
+		return func() { _ = l.Close() }
+	}
+	Convey("A daemon serves once the process before it has closed its addresses", t, func() {
+		s := newSidecar(t)
+		releaseReady, releaseCallers := listener(s.ready), listener(s.callers)
+		s.start()
+		time.Sleep(startDelay)
+		releaseReady()
+		time.Sleep(startDelay)
+		releaseCallers()
+		s.awaitReady()
+		So(s.send("after-listener"), ShouldEqual, http.StatusOK)
+	})
+	Convey("A daemon serves once its port is no longer the local port of another connection", t, func() {
+		s := newSidecar(t)
+		local, err := net.ResolveTCPAddr("tcp", s.callers)
+		So(err, ShouldBeNil)
+		c, err := (&net.Dialer{LocalAddr: local}).Dial("tcp", s.store.Address())
+		So(err, ShouldBeNil)
+		So(c.(*net.TCPConn).SetLinger(0), ShouldBeNil) // no TIME_WAIT
+		s.start()
+		time.Sleep(startDelay)
+		So(c.Close(), ShouldBeNil)
+		s.awaitReady()
+		So(s.send("after-connection"), ShouldEqual, http.StatusOK)
+	})
+	Convey("A daemon that waits for an address keeps none, and stops with exit code 0 at SIGTERM", t, func() {
+		s := newSidecar(t)
+		release := listener(s.ready)
+		defer release()
+		s.start()
+		time.Sleep(startDelay)
+		s.signalAtIntervals(20*time.Millisecond, syscall.SIGHUP)
+		_, err := net.Dial("tcp", s.callers)
+		So(err, ShouldNotBeNil)
+		s.signalAtIntervals(0, syscall.SIGTERM)
+		So(s.process.wait(t, 5*time.Second), ShouldBeNil)
+		So(s.process.logs.String(), ShouldContainSubstring, s.ready)
+	})
+	Convey("The daemon with the product's own interface waits for an address too", t, func() {
+		f := newFleet(t)
+		name := f.upstream("catalogue", 0)
+		vm := f.vms[name]
+		vm.daemon.signal(t, syscall.SIGKILL)
+		So(vm.daemon.wait(t, 10*time.Second), ShouldNotBeNil)
+		release := listener(vm.daemonSettings.Listeners.Callers)
+		f.startDaemon(name)
+		time.Sleep(startDelay)
+		release()
+		f.awaitServing(name)
+	})
+}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -31,9 +31,13 @@
 	}
 	defer func() { _ = log.Sync() }()
 	operator.LimitProcessors()
-	d := daemon.New(daemon.Options{Settings: *daemonSettings, Logger: log})
-	if err := d.Start(); err != nil {
-		return err
+	var d *daemon.Daemon
+	err = signals.repeat(log, "listen", func() error {
+		d = daemon.New(daemon.Options{Settings: *daemonSettings, Logger: log})
+		return d.Start()
+	})
+	if err != nil {
+		return startError(err)
 	}
 	operator.LimitMemory()
 	signals.awaitStop(log)
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -64,8 +64,9 @@
 		Settings: loaded.Mesh, HeaderConvention: platform.HeaderConvention{}, Decoder: platform.Decoder{},
 		Store: platform.NewStore(loaded.StoreAddress, mesh.Dial, log), Logger: log, Metrics: registry,
 	})
-	if err := d.Start(); err != nil {
-		return err
+	if err := signals.repeat(log, "listen", d.Start); err != nil {
+		d.Close()
+		return startError(err)
 	}
 	c.reload(signals, log, d, loaded.Mesh)
 	return signals.duringStop(log, nil, func() error {
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -219,8 +219,8 @@
 	return d
 }
 
-// Start opens the listeners and begins to serve. If a listener can't be opened, it closes the
-// daemon and returns the error.
+// Start opens the listeners and begins to serve. If a listener can't be opened, it opens none and
+// returns the error; it may be called again then.
 func (d *Daemon) Start() error {
 	_, port, err := net.SplitHostPort(d.settings.PeerAddress)
 	if err != nil {
@@ -228,7 +228,6 @@
 	}
 	d.peerPort = port
 	if err := d.listenAll(); err != nil {
-		d.Close()
 		return err
 	}
 	d.workers.Go(d.tickLoop)
@@ -241,43 +240,44 @@
 	return nil
 }
 
+// listenAll opens all listeners before it serves any, so that nothing is accepted by a daemon that
+// does not start.
 func (d *Daemon) listenAll() error {
-	for _, address := range []string{d.settings.PeerAddress, d.settings.ControlAddress} {
-		if address == "" {
-			continue
-		}
-		l, err := d.listen(address)
-		if err != nil {
-			return err
-		}
-		d.workers.Go(func() { d.servePeers(l) })
+	addresses := []string{d.settings.CallerAddress, d.settings.ReadyAddress, d.settings.PeerAddress}
+	if d.settings.ControlAddress != "" {
+		addresses = append(addresses, d.settings.ControlAddress)
 	}
-	if err := d.serveCallers(); err != nil {
-		return err
+	if d.settings.MetricsAddress != "" {
+		addresses = append(addresses, d.settings.MetricsAddress)
 	}
-	if err := d.serveHTTP(d.settings.ReadyAddress, http.HandlerFunc(d.serveReady)); err != nil {
-		return err
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		l, err := d.opts.Listen("tcp", address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners = append(listeners, l)
 	}
-	if d.settings.MetricsAddress == "" {
-		return nil
+	d.listeners = listeners
+	d.serveCallers(listeners[0])
+	ready := d.newServer(d.serveReady)
+	d.workers.Go(func() { d.serveHTTP(d.settings.ReadyAddress, ready, listeners[1]) })
+	peers := listeners[2:]
+	if last := len(listeners) - 1; d.settings.MetricsAddress != "" {
+		peers = listeners[2:last]
+		metrics := d.newServer(d.serveMetrics)
+		d.workers.Go(func() { d.serveHTTP(d.settings.MetricsAddress, metrics, listeners[last]) })
 	}
-	return d.serveHTTP(d.settings.MetricsAddress, http.HandlerFunc(d.serveMetrics))
-}
-
-func (d *Daemon) listen(address string) (net.Listener, error) {
-	l, err := d.opts.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
+	for _, l := range peers {
+		d.workers.Go(func() { d.servePeers(l) })
 	}
-	d.listeners = append(d.listeners, l)
-	return l, nil
+	return nil
 }
 
-func (d *Daemon) serveCallers() error {
-	l, err := d.listen(d.settings.CallerAddress)
-	if err != nil {
-		return err
-	}
+func (d *Daemon) serveCallers(l net.Listener) {
 	d.callerListener = l
 	d.callers.Handler = http.HandlerFunc(d.serveCaller)
 	d.callers.Limits = d.callerLimits
@@ -287,7 +287,6 @@
 	}
 	d.callers.Panicked = func(v any) { d.logPanic(panicConnection, "", v) }
 	d.workers.Go(func() { d.callers.Serve(l, d.acceptFailed(d.settings.CallerAddress)) })
-	return nil
 }
 
 // acceptFailed returns a function that logs that connections can't be accepted at an address.
@@ -310,22 +309,21 @@
 	return limits
 }
 
-func (d *Daemon) serveHTTP(address string, handler http.Handler) error {
-	l, err := d.listen(address)
-	if err != nil {
-		return err
-	}
+// newServer returns a server that Close ends. It must be called before Start returns.
+func (d *Daemon) newServer(handler http.HandlerFunc) *http.Server {
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(d.log),
 		DisableGeneralOptionsHandler: true,
 	}
 	d.servers = append(d.servers, server)
-	d.workers.Go(func() {
-		if err := server.Serve(l); d.ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error(eventListenerFailed, zap.String("address", address), errorField(err))
-		}
-	})
-	return nil
+	return server
+}
+
+// serveHTTP serves until server is closed, and closes l.
+func (d *Daemon) serveHTTP(address string, server *http.Server, l net.Listener) {
+	if err := server.Serve(l); d.ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error(eventListenerFailed, zap.String("address", address), errorField(err))
+	}
 }
 
 // serveReady answers the health check: 200 if the daemon has a configuration and is not
