A metrics port in use no longer keeps a daemon from serving

Change: the listener of the metrics is opened beside the others, logged as `listener failed` once for each error, and tried again each second. Users expect the data path to serve; who watches the metrics sees that the page is missing, and the log line says why.

--- a/harness/e2e/start_wait_test.go
+++ b/harness/e2e/start_wait_test.go
@@ -101,3 +101,27 @@
 		f.awaitServing(name)
 	})
 }
+
+// Guards against a daemon that does not serve because the port of its metrics page is in use.
+func TestMetricsPortInUse(t *testing.T) {
+	Convey("A daemon whose metrics port is in use serves, and opens the port once it is free", t, func() {
+		s := newSidecar(t)
+		metrics := freeAddress(t)
+		l, err := net.Listen("tcp", metrics)
+		So(err, ShouldBeNil)
+		_, port, err := net.SplitHostPort(metrics)
+		So(err, ShouldBeNil)
+		s.process = startProcess(t, "sidecar", "--settings", s.settingsFile, "--metrics-port", port)
+		s.awaitReady()
+		So(s.send("without-metrics"), ShouldEqual, http.StatusOK)
+		So(l.Close(), ShouldBeNil)
+		opened := false
+		for end := time.Now().Add(10 * time.Second); !opened && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if resp, err := http.Get("http://" + metrics + "/metrics"); err == nil {
+				_ = resp.Body.Close()
+				opened = resp.StatusCode == http.StatusOK
+			}
+		}
+		So(opened, ShouldBeTrue)
+	})
+}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -28,6 +28,9 @@
 )
 
 const (
+	// metricsListenInterval is the time between attempts to open the listener of the metrics: a
+	// fraction of the usual interval at which metrics are fetched.
+	metricsListenInterval = time.Second
 	// tickInterval is how often queued requests and expiries are checked.
 	tickInterval = 50 * time.Millisecond
 	// initialSlots is the number of slots until the local backend server has registered.
@@ -219,8 +222,8 @@
 	return d
 }
 
-// Start opens the listeners and begins to serve. If a listener can't be opened, it opens none and
-// returns the error; it may be called again then.
+// Start opens the listeners and begins to serve. If one of the listeners other than that of the
+// metrics can't be opened, it opens none and returns the error; it may be called again then.
 func (d *Daemon) Start() error {
 	_, port, err := net.SplitHostPort(d.settings.PeerAddress)
 	if err != nil {
@@ -247,9 +250,6 @@
 	if d.settings.ControlAddress != "" {
 		addresses = append(addresses, d.settings.ControlAddress)
 	}
-	if d.settings.MetricsAddress != "" {
-		addresses = append(addresses, d.settings.MetricsAddress)
-	}
 	listeners := make([]net.Listener, 0, len(addresses))
 	for _, address := range addresses {
 		l, err := d.opts.Listen("tcp", address)
@@ -265,18 +265,38 @@
 	d.serveCallers(listeners[0])
 	ready := d.newServer(d.serveReady)
 	d.workers.Go(func() { d.serveHTTP(d.settings.ReadyAddress, ready, listeners[1]) })
-	peers := listeners[2:]
-	if last := len(listeners) - 1; d.settings.MetricsAddress != "" {
-		peers = listeners[2:last]
-		metrics := d.newServer(d.serveMetrics)
-		d.workers.Go(func() { d.serveHTTP(d.settings.MetricsAddress, metrics, listeners[last]) })
-	}
-	for _, l := range peers {
+	for _, l := range listeners[2:] {
 		d.workers.Go(func() { d.servePeers(l) })
 	}
+	if d.settings.MetricsAddress != "" {
+		server := d.newServer(d.serveMetrics)
+		d.workers.Go(func() { d.listenMetrics(server) })
+	}
 	return nil
 }
 
+// listenMetrics opens the listener of the metrics and serves them. Requests are served without it,
+// so that it is tried again until it can be opened.
+func (d *Daemon) listenMetrics(server *http.Server) {
+	address, lastError := d.settings.MetricsAddress, ""
+	for {
+		l, err := d.opts.Listen("tcp", address)
+		if err == nil {
+			d.serveHTTP(address, server, l)
+			return
+		}
+		if err.Error() != lastError {
+			lastError = err.Error()
+			d.log.Error(eventListenerFailed, zap.String("address", address), errorField(err))
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-time.After(metricsListenInterval):
+		}
+	}
+}
+
 func (d *Daemon) serveCallers(l net.Listener) {
 	d.callerListener = l
 	d.callers.Handler = http.HandlerFunc(d.serveCaller)
