--- a/harness/soak/faults.go
+++ b/harness/soak/faults.go
@@ -123,11 +123,14 @@
 
 func (s *soak) playStopWithReloads(ctx context.Context, r *rand.Rand) {
 	v := s.anyVM(r)
+	stopped := v.current()
 	var stop sync.WaitGroup
 	stop.Go(v.stopAndWait)
 	for range 1 + r.IntN(6) {
 		sleep(ctx, span(r, 0, 500*time.Millisecond))
-		v.signal(Reload, syscall.SIGHUP)
+		if s.options.EarlySignals || v.current() == stopped {
+			v.signal(Reload, syscall.SIGHUP)
+		}
 	}
 	stop.Wait()
 }
--- a/harness/soak/history.go
+++ b/harness/soak/history.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"encoding/json"
+	"io"
 	"sync"
 	"time"
 )
@@ -169,3 +171,10 @@
 	defer h.mu.Unlock()
 	h.events = append(h.events, e)
 }
+
+// WriteJSON writes the history as one JSON object. Times are in nanoseconds.
+func (h *History) WriteJSON(w io.Writer) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return json.NewEncoder(w).Encode(map[string]any{"requests": h.requests, "runs": h.runs, "events": h.events})
+}
--- a/harness/soak/report.go
+++ b/harness/soak/report.go
@@ -26,6 +26,8 @@
 	Logs []string `json:"logs"`
 	// Seconds holds the load over time.
 	Seconds []Second `json:"seconds"`
+	// History is what the report was made from.
+	History *History `json:"-"`
 }
 
 // Second counts the requests that ended within one second of the run.
@@ -42,7 +44,7 @@
 
 func (s *soak) report() *Report {
 	h := s.history
-	report := &Report{Seed: s.options.Seed, Duration: s.options.Duration, Requests: make(map[string]int), Events: make(map[EventKind]int)}
+	report := &Report{History: h, Seed: s.options.Seed, Duration: s.options.Duration, Requests: make(map[string]int), Events: make(map[EventKind]int)}
 	report.Findings, report.Excused = Check(h, DefaultTerms)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/harness/soak/vm.go
+++ b/harness/soak/vm.go
@@ -182,8 +182,19 @@
 	}
 }
 
-// stopAndWait sends SIGTERM and waits for the end of the process.
+// current returns the process, nil if there is none.
+func (v *vm) current() *exec.Cmd {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.process
+}
+
+// stopAndWait sends SIGTERM and waits for the end of the process. Without early signals, it waits until
+// the process is ready.
 func (v *vm) stopAndWait() {
+	for deadline := time.Now().Add(startTimeout); !v.soak.options.EarlySignals && !v.soak.isReady(v) && time.Now().Before(deadline); {
+		time.Sleep(20 * time.Millisecond)
+	}
 	v.mu.Lock()
 	ended := v.ended
 	v.mu.Unlock()
--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,6 +29,7 @@
 	AnyMemory    bool          `help:"Do not compare the memory of daemons with their limit, as for a build with the race detector."`
 	Dir          string        `type:"path" help:"Existing folder for settings files and logs; a temporary one, kept after a finding, if empty."`
 	Report       string        `type:"path" help:"File for the report in JSON."`
+	History      string        `type:"path" help:"File for the recorded history in JSON."`
 	Quiet        bool          `help:"Print no line for each fault."`
 }
 
@@ -73,7 +75,12 @@
 		return err
 	}
 	if c.Report != "" {
-		if err := writeReport(report, c.Report); err != nil {
+		if err := writeFile(c.Report, report.WriteJSON); err != nil {
+			return err
+		}
+	}
+	if c.History != "" {
+		if err := writeFile(c.History, report.History.WriteJSON); err != nil {
 			return err
 		}
 	}
@@ -90,12 +97,12 @@
 	return nil
 }
 
-func writeReport(report *soak.Report, path string) error {
+func writeFile(path string, write func(io.Writer) error) error {
 	f, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	if err := report.WriteJSON(f); err != nil {
+	if err := write(f); err != nil {
 		_ = f.Close()
 		return err
 	}
