pipeline: a connection lingers until its caller has received the last answer

Seen by callers: a request that was run and answered, on a kept connection to a daemon that stops, ends without its answer, if the caller reads late and sends more meanwhile.

Cause: linger() closed the connection 1 s after the last response was written, whatever of it still waited in the kernel's send buffer. When the caller then sent its next pipelined request, the kernel answered with a reset and threw the rest of the buffer away. The time was not tied to the delivery of the answer.

Change: linger goes on until the caller's system has acknowledged all that was sent (SIOCOUTQ), checked each 100 ms, for at most writeTimeout after the response, the time that a blocked write has. A stop waits for it as for any open connection, within its deadline.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -463,25 +463,6 @@
 	<-interrupted
 }
 
-// linger waits for the last response, closes the sending direction and discards what the
-// caller sends until lingerTime after that response.
-func (c *conn) linger() {
-	c.mu.Lock()
-	latest := c.latest
-	c.mu.Unlock()
-	if latest != nil {
-		c.awaitEnd(latest)
-	}
-	if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-		_ = tcp.CloseWrite()
-	}
-	c.mu.Lock()
-	deadline := c.ended.Add(lingerTime)
-	c.mu.Unlock()
-	_ = c.netConn.SetReadDeadline(deadline)
-	_, _ = io.Copy(io.Discard, c.netConn)
-}
-
 func (c *conn) close(cause error) {
 	c.cancel(cause)
 	_ = c.netConn.Close()
--- /dev/null
+++ b/internal/pipeline/linger.go
@@ -0,0 +1,66 @@
+package pipeline
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// lingerTime is how long a connection is still read after its last response. Closing
+	// it with unread bytes would reset it, and the caller could lose the response.
+	lingerTime = time.Second
+	// lingerCheck is how often it is checked after that whether the caller has received the response.
+	lingerCheck = 100 * time.Millisecond
+)
+
+// linger waits for the last response, closes the sending direction and discards what the caller sends
+// until lingerTime after that response, and until the caller's system has received all of it. What the
+// caller sends after the close resets the connection, and what has not been received is lost then. A
+// caller that does not receive it within writeTimeout is given up, as one that blocks a write is.
+func (c *conn) linger() {
+	c.mu.Lock()
+	latest := c.latest
+	c.mu.Unlock()
+	if latest != nil {
+		c.awaitEnd(latest)
+	}
+	if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
+		_ = tcp.CloseWrite()
+	}
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	for until := ended.Add(lingerTime); ; until = time.Now().Add(lingerCheck) {
+		_ = c.netConn.SetReadDeadline(until)
+		_, err := io.Copy(io.Discard, c.netConn)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || unreceived(c.netConn) == 0 || time.Since(ended) >= writeTimeout {
+			return
+		}
+	}
+}
+
+// unreceived returns the number of sent bytes that the other end of a connection has not acknowledged,
+// its end included. It is 0 where the system does not tell.
+func unreceived(netConn net.Conn) int {
+	sc, ok := netConn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	var controlErr error
+	err = raw.Control(func(fd uintptr) { n, controlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if err != nil || controlErr != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -21,9 +21,6 @@
 	BodyBufferSize = 128 << 10
 	// maxInFlight bounds the requests of one connection that are handled concurrently.
 	maxInFlight = 16
-	// lingerTime is how long a connection is still read after its last response. Closing
-	// it with unread bytes would reset it, and the caller could lose the response.
-	lingerTime = time.Second
 	// bodyTimeout bounds each wait for further bytes of a body.
 	bodyTimeout = 10 * time.Second
 	// drainInterval is how often Drain closes the connections that have become idle.
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -137,6 +137,36 @@
 	})
 }
 
+// Guards against an answer that is thrown away because its caller, which reads late, sends more on a connection that was closed meanwhile.
+func TestLastAnswerOfLateReaderIsNotReset(t *testing.T) {
+	Convey("A last answer that is read long after it was written arrives completely, whatever the caller sends meanwhile", t, func() {
+		const size = 512 << 10
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+			_, _ = w.Write(make([]byte, size))
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Handler: handler, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
+		go s.Serve(l, func(error) {})
+		defer s.Close()
+		defer l.Close()
+		s.Stop()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		So(c.(*net.TCPConn).SetReadBuffer(64<<10), ShouldBeNil)
+		_, _ = io.WriteString(c, "GET /a"+versionAndHost+"\r\n")
+		time.Sleep(lingerTime + 300*time.Millisecond)
+		_, _ = io.WriteString(c, "GET /b"+versionAndHost+"\r\n")
+		time.Sleep(100 * time.Millisecond)
+		bodies, closed := readAll(c)
+		So(bodies, ShouldHaveLength, 1)
+		So(len(bodies[0]), ShouldEqual, size)
+		So(closed, ShouldBeTrue)
+	})
+}
+
 // queueListener returns the connections of a channel.
 type queueListener struct {
 	net.Listener
