--- a/harness/soak/vm.go
+++ b/harness/soak/vm.go
@@ -20,6 +20,9 @@
 	memoryInterval = 100 * time.Millisecond
 	// settingsDelay is the time until a daemon has read settings that changed without a signal.
 	settingsDelay = 3 * time.Second
+	// raceOptions shortens the second for which a process with the race detector sleeps at its exit: it is
+	// more than what a stop leaves of the grace time.
+	raceOptions = "GORACE=atexit_sleep_ms=50"
 	// defaultGrace is the grace time until the settings change.
 	defaultGrace = 6 * time.Second
 )
@@ -110,7 +113,7 @@
 	}
 	cmd := exec.Command(v.soak.options.Binary, "sidecar", "--metrics-port", fmt.Sprint(v.soak.ports.metrics))
 	cmd.Dir = v.soak.dir
-	cmd.Env = append(os.Environ(), "HAWTHORNPOINT_SETTINGS="+v.settingsFile())
+	cmd.Env = append(os.Environ(), "HAWTHORNPOINT_SETTINGS="+v.settingsFile(), raceOptions)
 	if n := v.soak.options.DaemonProcs; n > 0 {
 		cmd.Env = append(cmd.Env, fmt.Sprint("GOMAXPROCS=", n))
 	}
@@ -182,8 +185,19 @@
 	}
 }
 
-// stopAndWait sends SIGTERM and waits for the end of the process.
+// current returns the process, nil if there is none.
+func (v *vm) current() *exec.Cmd {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.process
+}
+
+// stopAndWait sends SIGTERM and waits for the end of the process. Without early signals, it waits until
+// the process is ready.
 func (v *vm) stopAndWait() {
+	for deadline := time.Now().Add(startTimeout); !v.soak.options.EarlySignals && !v.soak.isReady(v) && time.Now().Before(deadline); {
+		time.Sleep(20 * time.Millisecond)
+	}
 	v.mu.Lock()
 	ended := v.ended
 	v.mu.Unlock()
