Cut a response only when its caller reads nothing of it, not when one write takes long

A process that was suspended for 10 s during such a write would cut it as well.

Change: `timeoutWriter` attempts a write each second and gives up after ten attempts without a byte; the deadlines that `response` and the 100 Continue set by themselves are gone. Not reproduced: the same at a real upstream with a real caller slower than 12.8 KB/s.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -353,8 +353,7 @@
 		return false
 	}
 	if hasExpectation(r) && r.ContentLength != 0 {
-		_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)) // that of the last response has passed if the connection was idle
-		if _, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if _, err := io.WriteString(timeoutWriter{c.netConn}, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			ex.end()
 			return false
 		}
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -2,15 +2,45 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
-// writeTimeout bounds the time that a write of a response may wait for the caller to read.
-const writeTimeout = 10 * time.Second
+const (
+	// writeInterval is the time after which a write is attempted again. The kernel reports space for
+	// further bytes only when a third of its buffer is free, which takes long if the caller reads slowly.
+	writeInterval = time.Second
+	// writeAttempts is the number of successive attempts without a byte after which a write fails: the
+	// caller has read nothing for 10 s. A suspended process loses only one of them.
+	writeAttempts = 10
+)
+
+// timeoutWriter writes to a connection. A write fails when the caller reads nothing for too long.
+type timeoutWriter struct{ conn net.Conn }
+
+// Write implements io.Writer.
+func (w timeoutWriter) Write(p []byte) (written int, err error) {
+	for failed := 0; failed < writeAttempts; failed++ {
+		if err = w.conn.SetWriteDeadline(time.Now().Add(writeInterval)); err != nil {
+			return written, err
+		}
+		var n int
+		n, err = w.conn.Write(p[written:])
+		written += n
+		if written == len(p) || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		if n > 0 {
+			failed = -1
+		}
+	}
+	return written, err
+}
 
 // errConnEnded is the error of a response that could not be started, because the connection
 // was closed before all earlier responses had been written.
@@ -53,7 +83,6 @@
 	if w.close {
 		w.header.Set("Connection", "close")
 	}
-	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	fmt.Fprintf(c.writer, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
 	if err := w.header.Write(c.writer); err != nil {
 		w.err = err
@@ -80,7 +109,7 @@
 }
 
 // Write implements http.ResponseWriter. It returns an error when the connection is closed,
-// the caller does not read within writeTimeout, or the body exceeds its Content-Length.
+// the caller reads nothing for too long, or the body exceeds its Content-Length.
 func (w *response) Write(p []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
 	if w.err != nil {
@@ -90,7 +119,6 @@
 		return 0, nil
 	}
 	c := w.exchange.conn
-	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	var n int
 	switch {
 	case w.remaining == -2:
@@ -120,7 +148,6 @@
 		c.close(nil)
 		return
 	}
-	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if w.remaining == -1 {
 		_, _ = c.writer.WriteString("0\r\n\r\n")
 	}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -79,7 +79,7 @@
 	c := &conn{server: s, netConn: netConn, ctx: ctx, cancel: cancel, exchangeEnded: make(chan struct{}, 1)}
 	c.heads = headlimit.NewReader(sockread.NewReader(netConn))
 	c.reader = bufio.NewReaderSize(c.heads, 4<<10)
-	c.writer = bufio.NewWriterSize(netConn, 4<<10)
+	c.writer = bufio.NewWriterSize(timeoutWriter{netConn}, 4<<10)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
