quarantine: compare the times of crash reports by the fleet's time of day

Callers would see: a request that crashes the upstreams that run it goes on crashing them at VMs whose clock is wrong by more than a minute, after all others refuse it (rule BUDGET).

Cause: Report.At is the time of day of the VM that saw the crash; net/rpc drops the monotonic reading. The receiver compares it with its own time of day: a report from more than a minute ahead, or more than ten minutes back, is refused. So a VM whose clock is off neither believes the others nor is believed, and its reports and theirs don't add up. The tracker's time only moved forward, so that a clock that was ahead once made all reports too old until the time was reached again.

TestTimeThatWasWrong fails on the code before.

Change: all times of core/quarantine in the mesh are the fleet's time of day (core/fleetclock), and replies to reports state the clock as well. The estimate is computed once a second, as it is asked for several times for each request. Times until which abandoned runs may go on are converted from and to local time. The tracker's time goes back if it was wrong by more than a minute.

Ruled out: sending ages in place of times. The time is what tells a newer clearance from a known one; an age gains the time of the message at each hop, so that a clearance would be passed on as newer for ever.

--- a/core/fleetclock/fleetclock.go
+++ b/core/fleetclock/fleetclock.go
@@ -18,6 +18,9 @@
 	// maxAge is how long a stated time is used. Clocks that are not synchronised drift by
 	// milliseconds in that time.
 	maxAge = 5 * time.Minute
+	// estimateAge is how long an estimate is used if no clock is stated, so that Now costs little for
+	// each request.
+	estimateAge = time.Second
 )
 
 // sample is the time of day that a daemon stated.
@@ -31,6 +34,8 @@
 // concurrent use.
 type Clock struct {
 	samples []sample // oldest first
+	// estimate is the estimate of the local time estimatedAt, zero if the samples have changed since.
+	estimate, estimatedAt time.Time
 }
 
 // Observe records the time of day that a daemon stated. at is the local time, with its monotonic reading,
@@ -41,11 +46,19 @@
 		c.samples = slices.Delete(c.samples, 0, 1)
 	}
 	c.samples = append(c.samples, sample{source: source, stated: stated.Round(0), at: at})
+	c.estimatedAt = time.Time{}
 }
 
 // Now returns the estimate, without a monotonic reading. now is the local time, with its monotonic
 // reading, and own the time of day of this VM.
 func (c *Clock) Now(now, own time.Time) time.Time {
+	if age := now.Sub(c.estimatedAt); age < 0 || age >= estimateAge {
+		c.estimate, c.estimatedAt = c.median(now, own), now
+	}
+	return c.estimate.Add(now.Sub(c.estimatedAt))
+}
+
+func (c *Clock) median(now, own time.Time) time.Time {
 	clocks := []time.Time{own.Round(0)}
 	for _, s := range c.samples {
 		if age := now.Sub(s.at); age <= maxAge {
--- a/core/quarantine/entry.go
+++ b/core/quarantine/entry.go
@@ -181,10 +181,10 @@
 	t.outbox.MoveToFront(e.outboxElement)
 }
 
-// advance moves the tracker's time forward, never back, and removes expired entries,
-// crashes and abandoned calls, at most expirePerCall of each.
+// advance moves the tracker's time forward and removes expired entries, crashes and abandoned calls,
+// at most expirePerCall of each. The time goes back only if it was wrong by more than maxClockAhead.
 func (t *Tracker) advance(now time.Time) {
-	if now.After(t.now) {
+	if now.After(t.now) || t.now.Sub(now) > maxClockAhead {
 		t.now = now
 	}
 	for range expirePerCall {
--- a/mesh/backendwatch.go
+++ b/mesh/backendwatch.go
@@ -48,8 +48,9 @@
 func (d *Daemon) abandonedRunsUntil() (until time.Time, any bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	until = d.crashes.AbandonedUntil()
-	d.watchingBackend = d.ctx.Err() == nil && d.liveness.Accepting() && time.Now().Before(until)
+	now := time.Now()
+	until = now.Add(d.crashes.AbandonedUntil().Sub(d.timeOfDay()))
+	d.watchingBackend = d.ctx.Err() == nil && d.liveness.Accepting() && now.Before(until)
 	return until, d.watchingBackend
 }
 
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -163,7 +163,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.outgoing = d.dispatcher.Open(now, c.route, service, left, d.retryShare())
-	c.outgoing.Suspect = d.suspectKey(now, c.fingerprint)
+	c.outgoing.Suspect = d.suspectKey(c.fingerprint)
 	return d.dispatcher.Next(now, c.outgoing)
 }
 
@@ -209,7 +209,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	c.outgoing.Suspect = d.suspectKey(now, c.fingerprint)
+	c.outgoing.Suspect = d.suspectKey(c.fingerprint)
 	return d.dispatcher.Report(now, c.outgoing, r)
 }
 
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -50,10 +50,9 @@
 	leaving := !listed || local.Draining
 	var reports []quarantine.Report
 	if !leaving {
-		now := time.Now()
-		reports = d.crashes.BackendCrashed(now, uuid.New())
+		reports = d.crashes.BackendCrashed(d.timeOfDay(), uuid.New())
 		d.spreadReports("made", reports)
-		d.isolateWaiting(now)
+		d.isolateWaiting()
 	}
 	d.metrics.Count(metricCrashes)
 	d.log.Warn(eventBackendCrashed, zap.String("upstream", local.ID), zap.Int64("incarnation", local.Incarnation),
@@ -127,7 +126,7 @@
 	if cleared := d.crashes.CallEnded(a.callID(), answered); len(cleared) > 0 {
 		d.log.Info(eventCleared, zap.String("id", a.requestID), fingerprintField(a.fingerprint))
 		d.spreadReports("made", cleared)
-		d.isolateWaiting(time.Now())
+		d.isolateWaiting()
 	}
 }
 
@@ -137,10 +136,10 @@
 // that its copies don't run.
 func (d *Daemon) recordLostRun(a *localAttempt, err error) {
 	if errors.Is(err, net.ErrClosed) {
-		now := time.Now()
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.crashes.CallAbandoned(now, a.callID(), a.deadline)
+		now := d.timeOfDay()
+		d.crashes.CallAbandoned(now, a.callID(), now.Add(time.Until(a.deadline)))
 		d.watchAbandoned()
 		return
 	}
@@ -151,19 +150,19 @@
 func (d *Daemon) quarantinedFor(fp uint64) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.crashes.RefusedFor(time.Now(), fp)
+	return d.crashes.RefusedFor(d.timeOfDay(), fp)
 }
 
 // isSuspect reports whether equal requests ran at a crash and are not quarantined.
 func (d *Daemon) isSuspect(fp uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.crashes.Check(time.Now(), fp) == quarantine.Isolate
+	return d.crashes.Check(d.timeOfDay(), fp) == quarantine.Isolate
 }
 
 // suspectKey returns OutgoingRequest.Suspect of requests with the fingerprint. d.mu is held.
-func (d *Daemon) suspectKey(now time.Time, fp uint64) string {
-	if d.crashes.Check(now, fp) != quarantine.Isolate {
+func (d *Daemon) suspectKey(fp uint64) string {
+	if d.crashes.Check(d.timeOfDay(), fp) != quarantine.Isolate {
 		return ""
 	}
 	return strconv.FormatUint(fp, 16)
@@ -175,16 +174,16 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.crashes.Check(now, a.fingerprint) != quarantine.Refuse {
+	if d.crashes.Check(d.timeOfDay(), a.fingerprint) != quarantine.Refuse {
 		return slots.Decision{}, false
 	}
 	d.deliverDecisions(d.limiter.Release(now, a.id))
-	return d.quarantined(now, a), true
+	return d.quarantined(a), true
 }
 
 // quarantined returns the decision to refuse a request that is quarantined. d.mu is held.
-func (d *Daemon) quarantined(now time.Time, a *localAttempt) slots.Decision {
-	left := d.crashes.RefusedFor(now, a.fingerprint)
+func (d *Daemon) quarantined(a *localAttempt) slots.Decision {
+	left := d.crashes.RefusedFor(d.timeOfDay(), a.fingerprint)
 	d.log.Info(eventSlotRefused, zap.String("id", a.requestID), zap.String("kind", a.kind), zap.String("origin", a.origin),
 		fingerprintField(a.fingerprint), zap.Duration("wait", left), zap.String("reason", resultcode.Quarantined.String()))
 	return slots.Decision{Verdict: slots.Refuse, Reason: slots.Reason(resultcode.Quarantined.String()), Wait: left}
@@ -198,6 +197,7 @@
 }
 
 // isolateWaiting isolates the waiting requests that are suspects, and no others. d.mu is held.
-func (d *Daemon) isolateWaiting(now time.Time) {
+func (d *Daemon) isolateWaiting() {
+	now := d.timeOfDay()
 	d.limiter.IsolateWaiting(func(fp uint64) bool { return d.crashes.Check(now, fp) == quarantine.Isolate })
 }
--- a/mesh/crashreports.go
+++ b/mesh/crashreports.go
@@ -32,20 +32,20 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.mergeReports(time.Now(), reports)
+	d.mergeReports(reports)
 }
 
 // mergeReports merges reports of a peer. d.mu is held.
-func (d *Daemon) mergeReports(now time.Time, reports []quarantine.Report) {
+func (d *Daemon) mergeReports(reports []quarantine.Report) {
 	if len(reports) == 0 {
 		return
 	}
-	added := d.crashes.Merge(now, reports)
+	added := d.crashes.Merge(d.timeOfDay(), reports)
 	if len(added) == 0 {
 		return
 	}
 	d.spreadReports("received", added)
-	d.isolateWaiting(now)
+	d.isolateWaiting()
 }
 
 // spreadReports queues reports that are new to this daemon for some of its peers. d.mu is held.
@@ -121,7 +121,7 @@
 		return
 	}
 	addresses := d.randomPeers(1)
-	args := &ReportsArgs{Reports: d.crashes.Reports(time.Now(), maxExchangedReports), Exchange: true}
+	args := &ReportsArgs{Reports: d.crashes.Reports(d.timeOfDay(), maxExchangedReports), Exchange: true}
 	d.mu.Unlock()
 	for _, address := range addresses {
 		d.callReports(address, args)
@@ -131,6 +131,7 @@
 func (d *Daemon) callReports(address string, args *ReportsArgs) {
 	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 	defer cancel()
+	sent := time.Now()
 	reply, err := callPeer[ReportsReply](ctx, d.peer(address), "Reports", args)
 	if err != nil {
 		d.metrics.Count(metricFailedNotices)
@@ -141,5 +142,6 @@
 	if args.Exchange {
 		d.exchanges.Answered()
 	}
-	d.mergeReports(time.Now(), reply.Reports)
+	d.observeClock(address, sent.Add(time.Since(sent)/2), reply.Clock)
+	d.mergeReports(reply.Reports)
 }
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -128,10 +128,10 @@
 	if d.replacement.Refuses(now, args.Instance) {
 		return slots.Decision{Reason: "other_instance"}, OutcomeLeaving
 	}
-	d.mergeReports(now, args.Reports)
-	verdict := d.crashes.Check(now, args.Fingerprint)
+	d.mergeReports(args.Reports)
+	verdict := d.crashes.Check(d.timeOfDay(), args.Fingerprint)
 	if verdict == quarantine.Refuse {
-		return d.quarantined(now, a), OutcomeQuarantined
+		return d.quarantined(a), OutcomeQuarantined
 	}
 	d.adoptRate(now, a, local, args.Rate)
 	d.callGraph.Observe(args.Kind, args.CallerService)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -206,8 +206,11 @@
 	Exchange bool
 }
 
-// ReportsReply answers ReportsArgs.
-type ReportsReply struct{ Reports []quarantine.Report }
+// ReportsReply answers ReportsArgs. Clock is the time of day of the daemon's VM in Unix milliseconds.
+type ReportsReply struct {
+	Reports []quarantine.Report
+	Clock   int64
+}
 
 // PingArgs tests a connection and carries the state of the sender; zero if From is empty.
 type PingArgs struct {
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -205,13 +205,13 @@
 // Reports merges crash reports and, for an exchange, returns some of the daemon's.
 func (c *PeerConn) Reports(args *ReportsArgs, reply *ReportsReply) error {
 	d := c.daemon
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.mergeReports(now, args.Reports)
+	d.mergeReports(args.Reports)
 	if args.Exchange {
-		reply.Reports = d.crashes.Reports(now, maxExchangedReports)
+		reply.Reports = d.crashes.Reports(d.timeOfDay(), maxExchangedReports)
 	}
+	reply.Clock = d.statedTime()
 	return nil
 }
 
