pipeline: a caller that still receives its last answer is waited for

The merge of the linger bound with writes that fail only without progress: the bound of 10 s counted from the last response, so that a caller that still received it was cut there.

--- a/internal/pipeline/linger.go
+++ b/internal/pipeline/linger.go
@@ -22,7 +22,7 @@
 // linger waits for the last response, closes the sending direction and discards what the caller sends
 // until lingerTime after that response, and until the caller's system has received all of it. What the
 // caller sends after the close resets the connection, and what has not been received is lost then. A
-// caller that does not receive it within writeTimeout is given up, as one that blocks a write is.
+// caller that receives nothing for writeTimeout is given up, as one that blocks a write is.
 func (c *conn) linger() {
 	c.mu.Lock()
 	latest := c.latest
@@ -36,10 +36,15 @@
 	c.mu.Lock()
 	ended := c.ended
 	c.mu.Unlock()
+	left, progress := unreceived(c.netConn), ended
 	for until := ended.Add(lingerTime); ; until = time.Now().Add(lingerCheck) {
 		_ = c.netConn.SetReadDeadline(until)
 		_, err := io.Copy(io.Discard, c.netConn)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || unreceived(c.netConn) == 0 || time.Since(ended) >= writeTimeout {
+		n := unreceived(c.netConn)
+		if n < left {
+			left, progress = n, time.Now()
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || n == 0 || time.Since(progress) >= writeTimeout {
 			return
 		}
 	}
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -18,6 +18,7 @@
 	// writeAttempts is the number of successive attempts without a byte after which a write fails: the
 	// caller has read nothing for 10 s. A suspended process loses only one of them.
 	writeAttempts = 10
+	writeTimeout  = writeAttempts * writeInterval
 )
 
 // timeoutWriter writes to a connection. A write fails when the caller reads nothing for too long.
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -150,7 +150,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		s := &Server{Handler: handler, Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}}
-		go s.Serve(l, func(error) {})
+		go s.Serve(acceptloop.New(l), func(error) {})
 		defer s.Close()
 		defer l.Close()
 		s.Stop()
