--- a/internal/cli/start.go
+++ b/internal/cli/start.go
@@ -31,7 +31,7 @@
 			return errors.Wrapf(err, "%s failed for %v", name, startup.Limit)
 		}
 		if changed {
-			log.Error(eventStartDelayed, zap.String("step", name), zap.Error(err), zap.Duration("limit", startup.Limit))
+			log.Error(eventStartDelayed, zap.String("step", name), zap.String("error", err.Error()), zap.Duration("limit", startup.Limit))
 		}
 		select {
 		case received := <-s.stop:
