Bound the time for the rest of a request once a stopping daemon drains its connections

Evidence, TestStopWithPartsOfRequests on the code before (a part of a header, a part of a body, a body byte by byte): Line 352: Expected collection to have length equal to [1], but its length was [0] instead! A request whose rest arrives in that second is answered as before (same test). Unexplained: one run of TestUnusedGrant and TestWithdrawalBeforeAsk of mesh failed at a load of about 50 with its output cut off; 33 further runs of them (15 with -race, GOMAXPROCS 1 to 3) pass. Neither uses this package.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -30,13 +30,16 @@
 	writer        *bufio.Writer
 	exchangeEnded chan struct{} // receives a value when an exchange has ended
 
-	mu       sync.Mutex
-	latest   *exchange   // of the latest request
-	inFlight []*exchange // those whose response has not been written
-	awaiting bool        // the first byte of the next request is awaited
-	retiring bool        // the connection is closed when it is idle
-	closing  bool        // no further response may be written
-	ended    time.Time   // when the latest exchange ended
+	mu              sync.Mutex
+	latest          *exchange   // of the latest request
+	inFlight        []*exchange // those whose response has not been written
+	awaiting        bool        // the first byte of the next request is awaited
+	retiring        bool        // the connection is closed when it is idle
+	receiving       bool        // the header or the first part of the body of a request is being read
+	receiveDeadline time.Time   // the read deadline while receiving, zero for none
+	receiveBy       time.Time   // bounds receiveDeadline if the connection is retiring
+	closing         bool        // no further response may be written
+	ended           time.Time   // when the latest exchange ended
 }
 
 // exchange is a request and its response.
@@ -141,18 +144,20 @@
 	if limits.HeaderTimeout > 0 {
 		deadline = time.Now().Add(limits.HeaderTimeout)
 	}
-	_ = c.netConn.SetReadDeadline(deadline)
+	c.beginReceive()
+	c.setReceiveDeadline(deadline)
 	r, err := http.ReadRequest(c.reader)
 	if c.heads.Exceeded() {
 		return nil, headlimit.ErrTooLarge // the parser may report the incomplete line as malformed
 	}
-	if err != nil && !deadline.IsZero() && !time.Now().Before(deadline) {
+	if err != nil && c.receiveOver() {
 		return nil, os.ErrDeadlineExceeded // as above
 	}
 	if err != nil {
 		return nil, err
 	}
 	c.heads.End()
+	c.endReceive()
 	return r, checkRequest(r)
 }
 
@@ -215,11 +220,53 @@
 	c.awaiting = false
 }
 
-// retire closes the connection if it is idle. The goroutine that reads the connection closes
-// it, so that a request that it has read is answered.
+// beginReceive begins to read the header of a request or the first part of its body.
+func (c *conn) beginReceive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving, c.receiveDeadline, c.receiveBy = true, time.Time{}, time.Time{}
+	if c.retiring {
+		c.receiveBy = time.Now().Add(retireTimeout)
+	}
+}
+
+func (c *conn) endReceive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = false
+}
+
+// setReceiveDeadline sets the read deadline while receiving, zero for none.
+func (c *conn) setReceiveDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.IsZero() || !c.receiveBy.IsZero() && c.receiveBy.Before(t) {
+		t = c.receiveBy
+	}
+	c.receiveDeadline = t
+	_ = c.netConn.SetReadDeadline(t)
+}
+
+// receiveOver reports whether the read deadline is over.
+func (c *conn) receiveOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.receiveDeadline.IsZero() && !time.Now().Before(c.receiveDeadline)
+}
+
+// retire closes the connection if it is idle, and bounds the time for the rest of a request of which a part
+// has been read. The goroutine that reads the connection closes it, so that a request that it has read is
+// answered.
 func (c *conn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.receiving && !c.retiring {
+		c.receiveBy = time.Now().Add(retireTimeout)
+		if c.receiveDeadline.IsZero() || c.receiveBy.Before(c.receiveDeadline) {
+			c.receiveDeadline = c.receiveBy
+			_ = c.netConn.SetReadDeadline(c.receiveBy)
+		}
+	}
 	c.retiring = true
 	if c.awaiting && len(c.inFlight) == 0 {
 		_ = c.netConn.SetReadDeadline(time.Now())
@@ -391,7 +438,9 @@
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		return nil, false
 	}
-	body := &timeoutBody{conn: c.netConn, body: r.Body}
+	c.beginReceive()
+	defer c.endReceive()
+	body := &timeoutBody{conn: c, body: r.Body}
 	if timeout := c.server.Limits().BodyTimeout; timeout > 0 {
 		body.end = time.Now().Add(timeout)
 	}
@@ -418,7 +467,7 @@
 // timeoutBody is a request body whose reads fail when no byte arrives within bodyTimeout, and
 // after end if that is set.
 type timeoutBody struct {
-	conn net.Conn
+	conn *conn
 	body io.Reader
 	end  time.Time
 }
@@ -429,7 +478,7 @@
 	if !t.end.IsZero() && t.end.Before(deadline) {
 		deadline = t.end
 	}
-	_ = t.conn.SetReadDeadline(deadline)
+	t.conn.setReceiveDeadline(deadline)
 	return t.body.Read(p)
 }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -27,6 +27,9 @@
 	lingerTime = time.Second
 	// bodyTimeout bounds each wait for further bytes of a body.
 	bodyTimeout = 10 * time.Second
+	// retireTimeout bounds the time for the rest of a header, and of the first part of a body, once Drain
+	// has begun. Without it a caller that sends a part of a request could hold a drain to its deadline.
+	retireTimeout = time.Second
 	// drainInterval is how often Drain closes the connections that have become idle.
 	drainInterval = 5 * time.Millisecond
 )
@@ -125,7 +128,8 @@
 }
 
 // Drain closes each connection as soon as no request on it is being read, handled or answered,
-// and waits until all are closed or the deadline is over. It does not stop Serve, so the loop
+// and waits until all are closed or the deadline is over. Requests of which a part has arrived
+// must arrive within retireTimeout. It does not stop Serve, so the loop
 // must be closed first.
 func (s *Server) Drain(deadline time.Time) {
 	for !s.closeIfUnused() {
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,10 +17,13 @@
 
 // readAll returns the bodies of the responses that arrive until the connection ends or no further
 // one arrives within a second. closed is set when the connection has ended.
-func readAll(c net.Conn) (bodies []string, closed bool) {
+func readAll(c net.Conn) (bodies []string, closed bool) { return readAnswers(c, time.Second) }
+
+// readAnswers is readAll with another time for each response.
+func readAnswers(c net.Conn, limit time.Duration) (bodies []string, closed bool) {
 	br := bufio.NewReader(c)
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		_ = c.SetReadDeadline(time.Now().Add(limit))
 		r, err := http.ReadResponse(br, nil)
 		if err != nil {
 			netErr, isNetErr := err.(net.Error)
@@ -314,3 +318,56 @@
 		So(<-writeErr, ShouldNotBeNil)
 	})
 }
+
+// Guards against a stop that is held by a caller which sends only a part of a request, or sends it slowly.
+func TestStopWithPartsOfRequests(t *testing.T) {
+	for name, begin := range map[string]string{
+		"a part of a header":           "GET /a HTTP/1.1\r\nHo",
+		"a part of a body":             "POST /a" + versionAndHost + "Content-Length: 100\r\n\r\nx",
+		"bytes of a body at intervals": "POST /a" + versionAndHost + "Content-Length: 1000\r\n\r\nx",
+	} {
+		Convey("A drain ends soon, with an answer, if a caller has sent only "+name, t, func() {
+			address, s := startServer(t, &recorder{}, Limits{HeaderTimeout: 20 * time.Second, BodyTimeout: 20 * time.Second})
+			c, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			defer c.Close()
+			_, _ = io.WriteString(c, begin)
+			if strings.Contains(name, "intervals") {
+				go func() {
+					var err error
+					for ; err == nil; time.Sleep(10 * time.Millisecond) {
+						_, err = io.WriteString(c, "x")
+					}
+				}()
+			}
+			time.Sleep(50 * time.Millisecond)
+			s.Stop()
+			started := time.Now()
+			drained := make(chan time.Duration)
+			go func() {
+				s.Drain(started.Add(10 * time.Second))
+				drained <- time.Since(started)
+			}()
+			bodies, closed := readAnswers(c, 8*time.Second)
+			So(bodies, ShouldHaveLength, 1)
+			So(closed, ShouldBeTrue)
+			_ = c.Close()
+			So(<-drained, ShouldBeLessThan, 5*time.Second)
+		})
+	}
+	Convey("A request whose rest arrives shortly after the drain has begun is answered", t, func() {
+		address, s := startServer(t, &recorder{}, Limits{})
+		c, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, _ = io.WriteString(c, "POST /a"+versionAndHost+"Content-Length: 2\r\n\r\nx")
+		time.Sleep(50 * time.Millisecond)
+		s.Stop()
+		go s.Drain(time.Now().Add(10 * time.Second))
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, "x")
+		bodies, closed := readAll(c)
+		So(bodies, ShouldResemble, []string{"/a xx"})
+		So(closed, ShouldBeTrue)
+	})
+}
