Log and count connections of callers that end with unread requests on them

Requests behind an answer that closes the connection are the usual cause; their callers send them again.

The write deadline keeps its constant writeTimeout, of which the attempts are derived.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -29,6 +29,7 @@
 	reader        *bufio.Reader // of heads
 	writer        *bufio.Writer
 	exchangeEnded chan struct{} // receives a value when an exchange has ended
+	discarded     int64         // bytes that were read after the last request, for the goroutine that reads
 
 	mu              sync.Mutex
 	latest          *exchange   // of the latest request
@@ -60,7 +61,12 @@
 // serve reads requests and starts their handlers until the connection ends.
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
-	defer c.netConn.Close()
+	defer func() {
+		_ = c.netConn.Close()
+		if unread := c.discarded + int64(c.reader.Buffered()); unread > 0 && c.server.Unread != nil {
+			c.server.Unread(c.netConn.RemoteAddr(), unread)
+		}
+	}()
 	defer c.cancel(nil)
 	defer func() {
 		if v := recover(); v != nil {
@@ -510,7 +516,9 @@
 		<-last.done
 		_ = c.netConn.SetReadDeadline(time.Now())
 	}()
-	if _, err := io.Copy(io.Discard, c.netConn); !errors.Is(err, os.ErrDeadlineExceeded) {
+	n, err := io.Copy(io.Discard, c.netConn)
+	c.discarded += n
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.cancel(nil)
 	}
 	<-interrupted
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -12,20 +12,20 @@
 )
 
 const (
+	// writeTimeout bounds the time in which a caller reads nothing of a response that is being written.
+	writeTimeout = 10 * time.Second
 	// writeInterval is the time after which a write is attempted again. The kernel reports space for
 	// further bytes only when a third of its buffer is free, which takes long if the caller reads slowly.
 	writeInterval = time.Second
-	// writeAttempts is the number of successive attempts without a byte after which a write fails: the
-	// caller has read nothing for 10 s. A suspended process loses only one of them.
-	writeAttempts = 10
 )
 
-// timeoutWriter writes to a connection. A write fails when the caller reads nothing for too long.
+// timeoutWriter writes to a connection. A write fails when the caller reads nothing for writeTimeout,
+// counted in intervals, of which a process that is suspended loses only one.
 type timeoutWriter struct{ conn net.Conn }
 
 // Write implements io.Writer.
 func (w timeoutWriter) Write(p []byte) (written int, err error) {
-	for failed := 0; failed < writeAttempts; failed++ {
+	for failed := 0; failed < int(writeTimeout/writeInterval); failed++ {
 		if err = w.conn.SetWriteDeadline(time.Now().Add(writeInterval)); err != nil {
 			return written, err
 		}
@@ -109,7 +109,7 @@
 }
 
 // Write implements http.ResponseWriter. It returns an error when the connection is closed,
-// the caller reads nothing for too long, or the body exceeds its Content-Length.
+// the caller reads nothing for writeTimeout, or the body exceeds its Content-Length.
 func (w *response) Write(p []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
 	if w.err != nil {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -60,6 +60,9 @@
 	Limits func() Limits
 	// Reject is called for a request that can't be parsed, with the status of the response.
 	Reject func(remote net.Addr, status int, err error)
+	// Unread is called when a connection has ended of which bytes were received that belong to no handled
+	// request, as those of requests behind the last response. It may be nil.
+	Unread func(remote net.Addr, bytes int64)
 	// Panicked is called with the value of a panic while a connection is read or in a handler,
 	// and the connection is closed. If it is nil, the panic goes on.
 	Panicked func(value any)
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -223,7 +223,7 @@
 
 // SetWriteDeadline implements net.Conn.
 func (c hastyConn) SetWriteDeadline(t time.Time) error {
-	return c.Conn.SetWriteDeadline(t.Add(hastyWrite/writeAttempts - writeInterval))
+	return c.Conn.SetWriteDeadline(t.Add(hastyWrite/(writeTimeout/writeInterval) - writeInterval))
 }
 
 // Guards against a connection that is closed instead of asked for a body, because it was idle for longer
@@ -371,3 +371,29 @@
 		So(closed, ShouldBeTrue)
 	})
 }
+
+// Guards against a connection with unread requests on it that can't be told from one closed as idle.
+func TestUnreadBytesAreReported(t *testing.T) {
+	request, last := "GET /a"+versionAndHost+"\r\n", "GET /b"+versionAndHost+"Connection: close\r\n\r\n"
+	for text, want := range map[string]int64{request: 0, last: 0, last + request: int64(len(request)), last + strings.Repeat(request, 400): int64(400 * len(request))} {
+		Convey(fmt.Sprintf("A connection that ends with %d unread bytes is reported", want), t, func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			unread := make(chan int64, 1)
+			s := &Server{Handler: &recorder{delay: 20 * time.Millisecond}, Limits: func() Limits { return Limits{IdleTimeout: 100 * time.Millisecond} }, Reject: func(net.Addr, int, error) {},
+				Unread: func(_ net.Addr, n int64) { unread <- n }}
+			go s.Serve(acceptloop.New(l), func(error) {})
+			responses, closed := sendRaw(t, l.Addr().String(), text)
+			So(responses, ShouldHaveLength, 1)
+			So(closed, ShouldBeTrue)
+			_ = l.Close()
+			s.Close()
+			select {
+			case n := <-unread:
+				So(n, ShouldEqual, want)
+			default:
+				So(want, ShouldEqual, 0)
+			}
+		})
+	}
+}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -285,6 +285,10 @@
 		d.metrics.Count(metricUnreadable)
 		d.log.Info(eventNotParsed, zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
 	}
+	d.callers.Unread = func(remote net.Addr, bytes int64) {
+		d.metrics.Count(metricUnread)
+		d.log.Info(eventUnread, zap.Stringer("remote", remote), zap.Int64("bytes", bytes), zap.Bool("stopping", d.isStopping()))
+	}
 	d.callers.Panicked = func(v any) { d.logPanic(panicConnection, "", v) }
 	d.workers.Go(func() { d.callers.Serve(d.callerLoop, d.acceptFailed(d.settings.CallerAddress)) })
 	return nil
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -40,6 +40,7 @@
 	eventPanic           = "panic"
 
 	eventNotParsed      = "request not parsed"
+	eventUnread         = "connection ended with unread requests"
 	eventNotAdmitted    = "not let in"
 	eventAttempt        = "attempt"
 	eventAnswered       = "answered"
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -25,6 +25,7 @@
 	metricReports         = counter("crash_reports_total", "Reports about requests that ran at a crash: made here, received, or not sent to peers.", "result")
 	metricUnmatched       = counter("foreign_answers_total", "Answers of the local backend server that belong to no waiting request.")
 	metricUnreadable      = counter("requests_unreadable_total", "Requests of callers that are no HTTP or exceed a limit.")
+	metricUnread          = counter("connections_unread_total", "Connections of callers that ended with bytes of requests that were not handled.")
 	metricReads           = counter("store_reads_total", "Reads of the store by their result.", "result")
 	metricSourceFailures  = counter("sources_failed_total", "Daemons that were to pass on changes of the store and did not.")
 	metricUnreadableItems = counter("items_unreadable_total", "Items of the store that can't be decoded.")
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -32,7 +32,7 @@
 // Guards against an event that is dropped first although no other log line reports it.
 func TestLowPriorityEvents(t *testing.T) {
 	Convey("Events about the ends of requests, the store, upstreams and the configuration are among the last to be dropped", t, func() {
-		for _, event := range []string{eventRefused, eventNotAdmitted, eventTruncated, eventCallerLeft, eventCut, eventExchangeFailed, eventNotParsed,
+		for _, event := range []string{eventRefused, eventNotAdmitted, eventTruncated, eventCallerLeft, eventCut, eventExchangeFailed, eventNotParsed, eventUnread,
 			eventStoreLost, eventStoreRecovered, eventSourceFailed, eventConfig, eventConfigRefused, eventListed, eventRemoved, eventExpired,
 			eventBackendCrashed, eventStarted, eventStopping, eventStopped, eventSummary} {
 			So(lowPriority[event], ShouldBeFalse)
