Keep the answers that are on their way when a later request of their connection is aborted

Cause: `run` and `finish` closed the connection at once. What the caller sends after that resets it, and the kernel discards what it has not delivered. Evidence, TestAbortKeepsEarlierAnswers on the code before (512 KiB, receive buffer of 64 KiB): Line 431: Expected collection to have length equal to [1], but its length was [0] instead! Change: an aborted response ends its connection as the last one of a connection does: the sending direction is closed and the reading goroutine lingers. A response that could not be written still closes at once.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -498,7 +498,7 @@
 			}
 			// Earlier responses are written before the connection is closed.
 			if ex.awaitPrevious() {
-				ex.conn.close(nil)
+				w.abort()
 			}
 		}
 	}()
@@ -543,6 +543,19 @@
 	_, _ = io.Copy(io.Discard, c.netConn)
 }
 
+// endResponses ends the connection after the responses that have been written. Their caller assumes that
+// later requests were not read.
+func (c *conn) endResponses() {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	c.cancel(nil)
+	if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
 func (c *conn) close(cause error) {
 	c.cancel(cause)
 	_ = c.netConn.Close()
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -151,18 +151,25 @@
 	if w.remaining == -1 {
 		_, _ = c.writer.WriteString("0\r\n\r\n")
 	}
-	if err := c.writer.Flush(); err != nil || w.remaining > 0 {
+	if err := c.writer.Flush(); err != nil {
 		c.close(nil)
 		return
 	}
-	if w.close {
-		c.mu.Lock()
-		c.closing = true
-		c.mu.Unlock()
-		c.cancel(nil) // the caller assumes that later requests were not read
-		if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-			_ = tcp.CloseWrite()
-		}
-		_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTime))
+	switch {
+	case w.remaining > 0:
+		w.abort()
+	case w.close:
+		c.endResponses()
+	}
+}
+
+// abort ends a response that is not complete and its connection. Earlier responses may still be on their
+// way, so that the connection is not reset.
+func (w *response) abort() {
+	c := w.exchange.conn
+	if w.err != nil || w.headerWritten && w.remaining == -2 { // the end of the connection would be that of the body
+		c.close(nil)
+		return
 	}
+	c.endResponses()
 }
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -397,3 +397,39 @@
 		})
 	}
 }
+
+// Guards against a complete answer that is lost because a later request of its connection was aborted.
+func TestAbortKeepsEarlierAnswers(t *testing.T) {
+	Convey("An answer that is still on its way when a later request is aborted arrives completely", t, func() {
+		const size = 512 << 10
+		aborted := make(chan struct{})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+			if r.URL.Path == "/a" {
+				_, _ = w.Write(make([]byte, size))
+				return
+			}
+			_, _ = w.Write([]byte("begin"))
+			close(aborted)
+			panic(http.ErrAbortHandler)
+		})}
+		go s.Serve(acceptloop.New(l), func(error) {})
+		defer s.Close()
+		defer l.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		So(c.(*net.TCPConn).SetReadBuffer(64<<10), ShouldBeNil)
+		_, _ = io.WriteString(c, "GET /a"+versionAndHost+"\r\nGET /b"+versionAndHost+"\r\n")
+		<-aborted
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, "GET /c"+versionAndHost+"\r\n")
+		time.Sleep(100 * time.Millisecond)
+		bodies, closed := readAll(c)
+		So(bodies, ShouldHaveLength, 1)
+		So(len(bodies[0]), ShouldEqual, size)
+		So(closed, ShouldBeTrue)
+	})
+}
