Reset the connection of an answer without length that is cut

A caller of HTTP/1.0 got a cut answer that looked complete: without a length its end is that of the connection, and the abort closed it like a complete one. What remains: Close, and a handler that ends while its connection is being closed by Close, end such an answer without a reset.

--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -164,10 +164,17 @@
 }
 
 // abort ends a response that is not complete and its connection. Earlier responses may still be on their
-// way, so that the connection is not reset.
+// way, so that the connection is reset only if its end would mark that of the body.
 func (w *response) abort() {
 	c := w.exchange.conn
-	if w.err != nil || w.headerWritten && w.remaining == -2 { // the end of the connection would be that of the body
+	if w.err != nil {
+		c.close(nil)
+		return
+	}
+	if w.headerWritten && w.remaining == -2 {
+		if tcp, ok := c.netConn.(interface{ SetLinger(int) error }); ok {
+			_ = tcp.SetLinger(0)
+		}
 		c.close(nil)
 		return
 	}
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -433,3 +433,25 @@
 		So(closed, ShouldBeTrue)
 	})
 }
+
+// Guards against an answer that seems complete although it was cut, because its end is that of the connection.
+func TestAbortOfAnswerWithoutLength(t *testing.T) {
+	Convey("A caller of HTTP/1.0 sees that an answer was cut", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("begin"))
+			panic(http.ErrAbortHandler)
+		})}
+		go s.Serve(acceptloop.New(l), func(error) {})
+		defer s.Close()
+		defer l.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, _ = io.WriteString(c, "GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = io.ReadAll(c)
+		So(err, ShouldNotBeNil)
+	})
+}
