--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -12,21 +12,20 @@
 )
 
 const (
+	// writeTimeout bounds the time in which a caller reads nothing of a response that is being written.
+	writeTimeout = 10 * time.Second
 	// writeInterval is the time after which a write is attempted again. The kernel reports space for
 	// further bytes only when a third of its buffer is free, which takes long if the caller reads slowly.
 	writeInterval = time.Second
-	// writeAttempts is the number of successive attempts without a byte after which a write fails: the
-	// caller has read nothing for 10 s. A suspended process loses only one of them.
-	writeAttempts = 10
-	writeTimeout  = writeAttempts * writeInterval
 )
 
-// timeoutWriter writes to a connection. A write fails when the caller reads nothing for too long.
+// timeoutWriter writes to a connection. A write fails when the caller reads nothing for writeTimeout,
+// counted in intervals, of which a process that is suspended loses only one.
 type timeoutWriter struct{ conn net.Conn }
 
 // Write implements io.Writer.
 func (w timeoutWriter) Write(p []byte) (written int, err error) {
-	for failed := 0; failed < writeAttempts; failed++ {
+	for failed := 0; failed < int(writeTimeout/writeInterval); failed++ {
 		if err = w.conn.SetWriteDeadline(time.Now().Add(writeInterval)); err != nil {
 			return written, err
 		}
@@ -110,7 +109,7 @@
 }
 
 // Write implements http.ResponseWriter. It returns an error when the connection is closed,
-// the caller reads nothing for too long, or the body exceeds its Content-Length.
+// the caller reads nothing for writeTimeout, or the body exceeds its Content-Length.
 func (w *response) Write(p []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
 	if w.err != nil {
@@ -152,18 +151,32 @@
 	if w.remaining == -1 {
 		_, _ = c.writer.WriteString("0\r\n\r\n")
 	}
-	if err := c.writer.Flush(); err != nil || w.remaining > 0 {
+	if err := c.writer.Flush(); err != nil {
 		c.close(nil)
 		return
 	}
-	if w.close {
-		c.mu.Lock()
-		c.closing = true
-		c.mu.Unlock()
-		c.cancel(nil) // the caller assumes that later requests were not read
-		if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-			_ = tcp.CloseWrite()
+	switch {
+	case w.remaining > 0:
+		w.abort()
+	case w.close:
+		c.endResponses()
+	}
+}
+
+// abort ends a response that is not complete and its connection. Earlier responses may still be on their
+// way, so that the connection is reset only if its end would mark that of the body.
+func (w *response) abort() {
+	c := w.exchange.conn
+	if w.err != nil {
+		c.close(nil)
+		return
+	}
+	if w.headerWritten && w.remaining == -2 {
+		if tcp, ok := c.netConn.(interface{ SetLinger(int) error }); ok {
+			_ = tcp.SetLinger(0)
 		}
-		_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTime))
+		c.close(nil)
+		return
 	}
+	c.endResponses()
 }
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,10 +17,13 @@
 
 // readAll returns the bodies of the responses that arrive until the connection ends or no further
 // one arrives within a second. closed is set when the connection has ended.
-func readAll(c net.Conn) (bodies []string, closed bool) {
+func readAll(c net.Conn) (bodies []string, closed bool) { return readAnswers(c, time.Second) }
+
+// readAnswers is readAll with another time for each response.
+func readAnswers(c net.Conn, limit time.Duration) (bodies []string, closed bool) {
 	br := bufio.NewReader(c)
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		_ = c.SetReadDeadline(time.Now().Add(limit))
 		r, err := http.ReadResponse(br, nil)
 		if err != nil {
 			netErr, isNetErr := err.(net.Error)
@@ -249,7 +253,7 @@
 
 // SetWriteDeadline implements net.Conn.
 func (c hastyConn) SetWriteDeadline(t time.Time) error {
-	return c.Conn.SetWriteDeadline(t.Add(hastyWrite/writeAttempts - writeInterval))
+	return c.Conn.SetWriteDeadline(t.Add(hastyWrite/(writeTimeout/writeInterval) - writeInterval))
 }
 
 // Guards against a connection that is closed instead of asked for a body, because it was idle for longer
@@ -344,3 +348,140 @@
 		So(<-writeErr, ShouldNotBeNil)
 	})
 }
+
+// Guards against a stop that is held by a caller which sends only a part of a request, or sends it slowly.
+func TestStopWithPartsOfRequests(t *testing.T) {
+	for name, begin := range map[string]string{
+		"a part of a header":           "GET /a HTTP/1.1\r\nHo",
+		"a part of a body":             "POST /a" + versionAndHost + "Content-Length: 100\r\n\r\nx",
+		"bytes of a body at intervals": "POST /a" + versionAndHost + "Content-Length: 1000\r\n\r\nx",
+	} {
+		Convey("A drain ends soon, with an answer, if a caller has sent only "+name, t, func() {
+			address, s := startServer(t, &recorder{}, Limits{HeaderTimeout: 20 * time.Second, BodyTimeout: 20 * time.Second})
+			c, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			defer c.Close()
+			_, _ = io.WriteString(c, begin)
+			if strings.Contains(name, "intervals") {
+				go func() {
+					var err error
+					for ; err == nil; time.Sleep(10 * time.Millisecond) {
+						_, err = io.WriteString(c, "x")
+					}
+				}()
+			}
+			time.Sleep(50 * time.Millisecond)
+			s.Stop()
+			started := time.Now()
+			drained := make(chan time.Duration)
+			go func() {
+				s.Drain(started.Add(10 * time.Second))
+				drained <- time.Since(started)
+			}()
+			bodies, closed := readAnswers(c, 8*time.Second)
+			So(bodies, ShouldHaveLength, 1)
+			So(closed, ShouldBeTrue)
+			_ = c.Close()
+			So(<-drained, ShouldBeLessThan, 5*time.Second)
+		})
+	}
+	Convey("A request whose rest arrives shortly after the drain has begun is answered", t, func() {
+		address, s := startServer(t, &recorder{}, Limits{})
+		c, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, _ = io.WriteString(c, "POST /a"+versionAndHost+"Content-Length: 2\r\n\r\nx")
+		time.Sleep(50 * time.Millisecond)
+		s.Stop()
+		go s.Drain(time.Now().Add(10 * time.Second))
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, "x")
+		bodies, closed := readAll(c)
+		So(bodies, ShouldResemble, []string{"/a xx"})
+		So(closed, ShouldBeTrue)
+	})
+}
+
+// Guards against a connection with unread requests on it that can't be told from one closed as idle.
+func TestUnreadBytesAreReported(t *testing.T) {
+	request, last := "GET /a"+versionAndHost+"\r\n", "GET /b"+versionAndHost+"Connection: close\r\n\r\n"
+	for text, want := range map[string]int64{request: 0, last: 0, last + request: int64(len(request)), last + strings.Repeat(request, 400): int64(400 * len(request))} {
+		Convey(fmt.Sprintf("A connection that ends with %d unread bytes is reported", want), t, func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			unread := make(chan int64, 1)
+			s := &Server{Handler: &recorder{delay: 20 * time.Millisecond}, Limits: func() Limits { return Limits{IdleTimeout: 100 * time.Millisecond} }, Reject: func(net.Addr, int, error) {},
+				Unread: func(_ net.Addr, n int64) { unread <- n }}
+			go s.Serve(acceptloop.New(l), func(error) {})
+			responses, closed := sendRaw(t, l.Addr().String(), text)
+			So(responses, ShouldHaveLength, 1)
+			So(closed, ShouldBeTrue)
+			_ = l.Close()
+			s.Close()
+			select {
+			case n := <-unread:
+				So(n, ShouldEqual, want)
+			default:
+				So(want, ShouldEqual, 0)
+			}
+		})
+	}
+}
+
+// Guards against a complete answer that is lost because a later request of its connection was aborted.
+func TestAbortKeepsEarlierAnswers(t *testing.T) {
+	Convey("An answer that is still on its way when a later request is aborted arrives completely", t, func() {
+		const size = 512 << 10
+		aborted := make(chan struct{})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+			if r.URL.Path == "/a" {
+				_, _ = w.Write(make([]byte, size))
+				return
+			}
+			_, _ = w.Write([]byte("begin"))
+			close(aborted)
+			panic(http.ErrAbortHandler)
+		})}
+		go s.Serve(acceptloop.New(l), func(error) {})
+		defer s.Close()
+		defer l.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		So(c.(*net.TCPConn).SetReadBuffer(64<<10), ShouldBeNil)
+		_, _ = io.WriteString(c, "GET /a"+versionAndHost+"\r\nGET /b"+versionAndHost+"\r\n")
+		<-aborted
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, "GET /c"+versionAndHost+"\r\n")
+		time.Sleep(100 * time.Millisecond)
+		bodies, closed := readAll(c)
+		So(bodies, ShouldHaveLength, 1)
+		So(len(bodies[0]), ShouldEqual, size)
+		So(closed, ShouldBeTrue)
+	})
+}
+
+// Guards against an answer that seems complete although it was cut, because its end is that of the connection.
+func TestAbortOfAnswerWithoutLength(t *testing.T) {
+	Convey("A caller of HTTP/1.0 sees that an answer was cut", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("begin"))
+			panic(http.ErrAbortHandler)
+		})}
+		go s.Serve(acceptloop.New(l), func(error) {})
+		defer s.Close()
+		defer l.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, _ = io.WriteString(c, "GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = io.ReadAll(c)
+		So(err, ShouldNotBeNil)
+	})
+}
