A run that its connection did not take counts as not sent

What callers would see: 502 for a request that may not be repeated and that was never sent: the connection to its VM ended between the grant of the slot and the run, as when that daemon stops or is restarted.

Cause: every error of a call that carries the request counted as sent, unless the connection was known to have ended before the call. net/rpc refuses calls on an ended connection with ErrShutdown, and a failed write leaves a message that can't be decoded; neither can have run.

Evidence: TestRunIsNotSentOverEndedConnection, both cases fail without the change: the error is not errUnreachable (ErrShutdown; "write tcp: broken pipe"). Not seen in a running fleet: the window is that between one check and the next statement, and a write into a connection that was reset.

Change: both count as not sent, so that the dispatcher tries elsewhere. ErrShutdown counts only when this daemon has not closed the connection itself: net/rpc then uses it also for calls that were sent.

After: passes, 2 of 2 runs with -race.

--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -299,7 +300,15 @@
 	return invokeLink[T](ctx, l, l.silent, method, args)
 }
 
-// invokeLink calls a method on a connection. It returns errSilent when giveUp is closed.
+// neverSent reports whether a call that failed with the error can't have reached the peer: the connection had
+// ended before, or did not take the last bytes of the call. net/rpc returns rpc.ErrShutdown also for calls
+// that wait for their reply, but only when the connection is closed here.
+func (l *peerLink) neverSent(err error) bool {
+	var failed *net.OpError
+	return err == rpc.ErrShutdown && !l.closed.Load() || errors.As(err, &failed) && strings.HasPrefix(failed.Op, "write")
+}
+
+// invokeLink calls a method on a connection. It returns errUnreachable if nothing was sent, and errSilent when giveUp is closed.
 func invokeLink[T any](ctx context.Context, l *peerLink, giveUp <-chan struct{}, method string, args any) (T, error) {
 	var zero T
 	reply := new(T)
@@ -310,6 +319,9 @@
 			if _, answered := call.Error.(rpc.ServerError); !answered {
 				l.broken.Store(true)
 			}
+			if l.neverSent(call.Error) {
+				return zero, errors.Wrap(errUnreachable, call.Error.Error())
+			}
 			return zero, errors.Wrap(call.Error, method)
 		}
 		return *reply, nil
--- a/mesh/peerclient_test.go
+++ b/mesh/peerclient_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net"
+	"net/rpc"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -39,3 +41,40 @@
 		So(accepted.Load(), ShouldEqual, 2)
 	})
 }
+
+// Guards against a run that counts as started although its connection had ended before it was sent.
+func TestRunIsNotSentOverEndedConnection(t *testing.T) {
+	run := func(connect func(c net.Conn) net.Conn) error {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		remote, err := l.Accept()
+		So(err, ShouldBeNil)
+		defer remote.Close()
+		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), client: rpc.NewClient(connect(c))}
+		_ = remote.(*net.TCPConn).CloseWrite()
+		time.Sleep(50 * time.Millisecond) // the client has read the end
+		_, err = callRun[Reply](t.Context(), link, "Run", &RunArgs{ID: 1})
+		return err
+	}
+	Convey("A run on a connection that has ended was not sent", t, func() {
+		So(errors.Is(run(func(c net.Conn) net.Conn { return c }), errUnreachable), ShouldBeTrue)
+	})
+	Convey("Nor was one that the connection did not take", t, func() {
+		err := run(func(c net.Conn) net.Conn {
+			w := newPeerWriter(c, func(f func()) { go f() }, func(error) {})
+			_ = c.(*net.TCPConn).CloseWrite()
+			return &notifyConn{Conn: blockingReader{c}, writer: w, onSend: func() {}, onReceive: func() {}, onEnd: func(error) {}}
+		})
+		So(errors.Is(err, errUnreachable), ShouldBeTrue)
+	})
+}
+
+// blockingReader is a connection on which nothing arrives.
+type blockingReader struct{ net.Conn }
+
+// Read implements net.Conn.
+func (blockingReader) Read([]byte) (int, error) { select {} }
