A reply that is there when its call ends is not dropped

What callers would see: 504 or 502 for a run whose answer the daemon had received, after the process got no processor time for a while: the end of the call and its reply are then noticed together.

Cause: invokeLink chose between both at random.

Not seen in a running fleet.

Change: the reply is looked for before a call is given up. The answer is delivered late, as answers that are ready are.

Open: the same choice in Daemon.run between the reply of the exchange and its timer, where the exchange goes on for 100 ms anyway.

--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -315,21 +315,25 @@
 	call := l.client.Go(peerService+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		if call.Error != nil {
-			if _, answered := call.Error.(rpc.ServerError); !answered {
-				l.broken.Store(true)
-			}
-			if l.neverSent(call.Error) {
-				return zero, errors.Wrap(errUnreachable, call.Error.Error())
-			}
-			return zero, errors.Wrap(call.Error, method)
-		}
-		return *reply, nil
 	case <-giveUp:
 		return zero, errors.Wrap(errSilent, method)
 	case <-ctx.Done():
-		return zero, ctx.Err()
+		select {
+		case <-call.Done: // a reply that is there counts, also after a pause of this process
+		default:
+			return zero, ctx.Err()
+		}
+	}
+	if call.Error == nil {
+		return *reply, nil
+	}
+	if _, answered := call.Error.(rpc.ServerError); !answered {
+		l.broken.Store(true)
+	}
+	if l.neverSent(call.Error) {
+		return zero, errors.Wrap(errUnreachable, call.Error.Error())
 	}
+	return zero, errors.Wrap(call.Error, method)
 }
 
 // cancel informs the peer that an attempt has ended, also one that is silent. The reply is ignored.
--- a/mesh/peerclient_test.go
+++ b/mesh/peerclient_test.go
@@ -78,3 +78,48 @@
 
 // Read implements net.Conn.
 func (blockingReader) Read([]byte) (int, error) { select {} }
+
+// readyCodec is the connection of an rpc.Client whose calls have their reply when they have been sent.
+type readyCodec struct {
+	sent    chan uint64
+	replied chan struct{}
+}
+
+// WriteRequest implements rpc.ClientCodec.
+func (c readyCodec) WriteRequest(r *rpc.Request, _ any) error {
+	c.sent <- r.Seq
+	<-c.replied
+	return nil
+}
+
+// ReadResponseHeader implements rpc.ClientCodec. It is called when the call before has its reply.
+func (c readyCodec) ReadResponseHeader(r *rpc.Response) error {
+	select {
+	case c.replied <- struct{}{}:
+	default:
+	}
+	r.Seq = <-c.sent
+	return nil
+}
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (readyCodec) ReadResponseBody(any) error { return nil }
+
+// Close implements rpc.ClientCodec.
+func (readyCodec) Close() error { return nil }
+
+// Guards against a reply that is dropped because the time of its call has ended when both are noticed, as
+// after a pause of the process.
+func TestReplyAtEndOfCall(t *testing.T) {
+	Convey("A reply that is there when its call ends is returned", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		codec := readyCodec{sent: make(chan uint64), replied: make(chan struct{}, 1)}
+		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), client: rpc.NewClientWithCodec(codec)}
+		<-codec.replied // of the first ReadResponseHeader
+		for range 50 {
+			_, err := callRun[Reply](ctx, link, "Run", &RunArgs{ID: 1})
+			So(err, ShouldBeNil)
+		}
+	})
+}
