--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -278,7 +279,7 @@
 // becomes silent. Otherwise it waits for the reply until ctx ends.
 func callElsewhere[T any](ctx context.Context, l *peerLink, elsewhere func() bool, method string, args any) (T, error) {
 	defer l.beginCall()()
-	if l.broken.Load() {
+	if l.broken.Load() || l.writer.queuedBytes() > maxQueuedBytes {
 		var zero T
 		return zero, errUnreachable
 	}
@@ -310,29 +311,53 @@
 	return invokeLink[T](ctx, l, l.silent, nil, method, args)
 }
 
-// invokeLink calls a method on a connection. It returns errSilent when giveUp is closed, unless elsewhere
-// is set and reports false then.
+// neverSent reports whether a call that failed with the error can't have reached the peer: the connection had
+// ended before, or did not take the last bytes of the call. net/rpc returns rpc.ErrShutdown also for calls
+// that wait for their reply, but only when the connection is closed here.
+func (l *peerLink) neverSent(err error) bool {
+	var failed *net.OpError
+	return err == rpc.ErrShutdown && !l.closed.Load() || errors.As(err, &failed) && strings.HasPrefix(failed.Op, "write")
+}
+
+// invokeLink calls a method on a connection. It returns errUnreachable if nothing was sent, and errSilent
+// when giveUp is closed, unless elsewhere is set and reports false then.
 func invokeLink[T any](ctx context.Context, l *peerLink, giveUp <-chan struct{}, elsewhere func() bool, method string, args any) (T, error) {
 	var zero T
 	reply := new(T)
 	call := l.client.Go(peerService+"."+method, args, reply, make(chan *rpc.Call, 1))
+	if err := awaitCall(ctx, call, giveUp, elsewhere); err != nil {
+		return zero, err
+	}
+	if call.Error == nil {
+		return *reply, nil
+	}
+	if _, answered := call.Error.(rpc.ServerError); !answered {
+		l.broken.Store(true)
+	}
+	if l.neverSent(call.Error) {
+		return zero, errors.Wrap(errUnreachable, call.Error.Error())
+	}
+	return zero, errors.Wrap(call.Error, method)
+}
+
+// awaitCall returns nil when the call has ended, and an error when it is given up.
+func awaitCall(ctx context.Context, call *rpc.Call, giveUp <-chan struct{}, elsewhere func() bool) error {
 	for {
 		select {
 		case <-call.Done:
-			if call.Error != nil {
-				if _, answered := call.Error.(rpc.ServerError); !answered {
-					l.broken.Store(true)
-				}
-				return zero, errors.Wrap(call.Error, method)
-			}
-			return *reply, nil
+			return nil
 		case <-giveUp:
 			if elsewhere == nil || elsewhere() {
-				return zero, errors.Wrap(errSilent, method)
+				return errors.Wrap(errSilent, call.ServiceMethod)
 			}
 			giveUp = nil
 		case <-ctx.Done():
-			return zero, ctx.Err()
+			select {
+			case <-call.Done: // a reply that is there counts, also after a pause of this process
+				return nil
+			default:
+				return ctx.Err()
+			}
 		}
 	}
 }
