--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -81,3 +82,54 @@
 		return false
 	}
 }
+
+// bufferBody replaces a body shorter than BodyBufferSize by a buffer with its bytes. For a longer
+// one it returns the body, the rest of which must still be read from the connection. failed is
+// set when the body could not be read; the start of the next request is then unknown.
+func (c *conn) bufferBody(r *http.Request) (streamed *streamedBody, failed bool) {
+	if r.ContentLength == 0 || r.Body == http.NoBody {
+		return nil, false
+	}
+	c.beginReceive()
+	defer c.endReceive()
+	body := &timeoutBody{conn: c, body: r.Body}
+	if timeout := c.server.Limits().BodyTimeout; timeout > 0 {
+		body.end = time.Now().Add(timeout)
+	}
+	data, err := io.ReadAll(io.LimitReader(body, BodyBufferSize))
+	if err != nil {
+		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(data), errorReader{err}))
+		r.Close = true
+		return nil, true
+	}
+	if len(data) < BodyBufferSize {
+		r.Body = io.NopCloser(bytes.NewReader(data))
+		return nil, false
+	}
+	streamed = &streamedBody{conn: c.netConn, buffered: data, rest: r.Body, ended: make(chan struct{})}
+	r.Body = streamed
+	return streamed, false
+}
+
+type errorReader struct{ err error }
+
+// Read implements io.Reader.
+func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
+
+// timeoutBody is a request body whose reads fail when no byte arrives within bodyTimeout, and
+// after end if that is set.
+type timeoutBody struct {
+	conn *conn
+	body io.Reader
+	end  time.Time
+}
+
+// Read implements io.Reader.
+func (t *timeoutBody) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(bodyTimeout)
+	if !t.end.IsZero() && t.end.Before(deadline) {
+		deadline = t.end
+	}
+	t.conn.setReceiveDeadline(deadline)
+	return t.body.Read(p)
+}
