A request behind an aborted one does not reset its connection

Callers would see: three pipelined requests; the answer to the first is still on its way (the caller reads late), the second is aborted (truncated, or its attempt is abandoned), and the third is a refusal of the daemon that waits for its turn, as they are common during a stop. The end of the third closed the connection at once instead of leaving it to linger. If bytes of the caller were unread or arrived afterwards, the system answered with a reset and dropped the rest of the first answer.

Cause: response.finish closes the connection on any error, and errConnEnded, which says that another exchange ends the connection, is one.

Change: finish leaves the connection to the goroutine that reads it, which every path with this error ends: the context of the connection is done or it is closing, and linger closes it.

--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -144,6 +144,9 @@
 func (w *response) finish() {
 	w.WriteHeader(http.StatusOK)
 	c := w.exchange.conn
+	if w.err == errConnEnded {
+		return // earlier responses may still be on their way; the goroutine that reads closes the connection
+	}
 	if w.err != nil {
 		c.close(nil)
 		return
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -485,3 +485,43 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// Guards against a complete answer that is lost because a request behind an aborted one ends.
+func TestRequestBehindAbortKeepsEarlierAnswers(t *testing.T) {
+	Convey("An answer that is still on its way arrives completely, although requests behind an aborted one end", t, func() {
+		const size = 512 << 10
+		waiting, ended := make(chan struct{}), make(chan struct{})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Limits: func() Limits { return Limits{} }, Reject: func(net.Addr, int, error) {}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/a":
+				w.Header().Set("Content-Length", fmt.Sprint(size))
+				_, _ = w.Write(make([]byte, size))
+			case "/b":
+				<-waiting
+				panic(http.ErrAbortHandler)
+			default:
+				close(waiting)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				close(ended)
+			}
+		})}
+		go s.Serve(acceptloop.New(l), func(error) {})
+		defer s.Close()
+		defer l.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		So(c.(*net.TCPConn).SetReadBuffer(64<<10), ShouldBeNil)
+		_, _ = io.WriteString(c, "GET /a"+versionAndHost+"\r\nGET /b"+versionAndHost+"\r\nGET /c"+versionAndHost+"\r\n")
+		<-ended
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, "GET /d"+versionAndHost+"\r\n")
+		time.Sleep(100 * time.Millisecond)
+		bodies, closed := readAll(c)
+		So(bodies, ShouldHaveLength, 1)
+		So(len(bodies[0]), ShouldEqual, size)
+		So(closed, ShouldBeTrue)
+	})
+}
