Reserve the retry of a run before it is given up

Callers would see: several idempotent requests run on a VM that becomes silent (a paused process, no fault of the runs), and the retry budget is nearly spent. All of them are given up in the same moment, some are sent again, the others are answered 502 (budget_spent) while their runs are at work.

Cause: CanRepeat looks at the budget, but the retry is charged later, in Report. The requests on one connection are woken together by one channel, so that all of them look before the first one is charged.

Evidence, before: TestRepeatsTogetherStayWithinTheBudget, 5 requests and a budget for 2: 5 are given up ("Expected collection to have length equal to [2], but its length was [5] instead"). Not seen in a running fleet.

Change: the check takes the retry from the budget (ReserveRepeat), and Report uses the reserved one. One that is not used, because the caller leaves or no upstream is left, stays charged: the bound on retries holds.

After: 2 are given up, both are sent again; core/dispatch and platform's tests of silent and paused peers pass with -race.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -438,7 +438,10 @@
 	reason, allowed := d.mayRetry(now, req, report, req.sent)
 	if allowed {
 		if step := d.Next(now, req); step.Code == 0 {
-			d.budget(req.Service).Charge(now, 1)
+			if !req.reserved {
+				d.budget(req.Service).Charge(now, 1)
+			}
+			req.reserved = false
 			step.Reason = reason
 			return step
 		}
--- a/core/dispatch/repeat.go
+++ b/core/dispatch/repeat.go
@@ -7,16 +7,22 @@
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 )
 
-// CanRepeat reports whether the request would be sent to another upstream if the attempt under way were
-// lost now. If not, the attempt is worth waiting for until the deadline.
-func (d *Dispatcher) CanRepeat(now time.Time, req *OutgoingRequest, quarantined bool) bool {
+// ReserveRepeat reports whether the request would be sent to another upstream if the attempt under way were
+// lost now, and takes the retry from the budget then: requests on one upstream are given up at the same
+// moment. If not, the attempt is worth waiting for until the deadline.
+func (d *Dispatcher) ReserveRepeat(now time.Time, req *OutgoingRequest, quarantined bool) bool {
 	lost := Report{Result: Lost, Retryable: true, Quarantined: quarantined}
 	if _, allowed := d.mayRetry(now, req, lost, req.sent+1); !allowed || req.asked >= maxAsked {
 		return false
 	}
-	return slices.ContainsFunc(d.dir.Serving(req.Service), func(u directory.Upstream) bool {
+	possible := slices.ContainsFunc(d.dir.Serving(req.Service), func(u directory.Upstream) bool {
 		return u.ID != req.target && !req.mayHaveRun[u.ID] && (!req.tried[u.ID] || req.refusals > 0)
 	})
+	if possible && !req.reserved {
+		d.budget(req.Service).Charge(now, 1)
+		req.reserved = true
+	}
+	return possible
 }
 
 // mayRetry returns the name of the deciding input, and whether the request may be sent again after
@@ -36,7 +42,7 @@
 		return "attempts_spent", false
 	case left < d.averageLatency[req.Route.Name]:
 		return "time_left", false
-	case !d.budget(req.Service).Available(now):
+	case !req.reserved && !d.budget(req.Service).Available(now):
 		return "budget_spent", false
 	}
 	return "repeat", true
--- a/core/dispatch/repeat_test.go
+++ b/core/dispatch/repeat_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against an attempt that is given up although its request can't be sent elsewhere.
-func TestCanRepeatAgreesWithTheStepAfterALostAttempt(t *testing.T) {
+func TestReserveRepeatAgreesWithTheStepAfterALostAttempt(t *testing.T) {
 	for _, c := range []struct {
 		name              string
 		upstreams         int
@@ -40,9 +40,36 @@
 			if c.prepare != nil {
 				c.prepare(d, dir, req)
 			}
-			So(d.CanRepeat(start, req, c.quiet), ShouldEqual, c.want)
+			So(d.ReserveRepeat(start, req, c.quiet), ShouldEqual, c.want)
 			step := d.Report(start, req, Report{Result: Lost, Retryable: true, Quarantined: c.quiet})
 			So(step.Code == 0, ShouldEqual, c.want)
 		})
 	}
 }
+
+// Guards against attempts that are given up at once although the retry budget suffices for one of them only.
+func TestRepeatsTogetherStayWithinTheBudget(t *testing.T) {
+	Convey("Of several requests on an upstream that becomes silent, those that may be given up are sent again", t, func() {
+		d, _ := fleet(3)
+		requests := make([]*OutgoingRequest, 5)
+		for i := range requests {
+			requests[i] = open(d, true)
+			So(d.Next(start, requests[i]).Code, ShouldEqual, resultcode.Code(0))
+		}
+		for d.budget("s").Available(start) {
+			d.budget("s").Charge(start, 1)
+		}
+		d.budget("s").Charge(start, -2)
+		var givenUp []*OutgoingRequest
+		for _, req := range requests {
+			if d.ReserveRepeat(start, req, false) {
+				givenUp = append(givenUp, req)
+			}
+		}
+		So(givenUp, ShouldHaveLength, 2)
+		for _, req := range givenUp {
+			So(d.Report(start, req, Report{Result: Lost, Retryable: true}).Code, ShouldEqual, resultcode.Code(0))
+		}
+		So(d.budget("s").Available(start), ShouldBeFalse)
+	})
+}
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -31,6 +31,7 @@
 	asked       int
 	sent        int
 	lost        bool // an attempt may have run without a known outcome
+	reserved    bool // the budget has been charged for the next repeat
 	stopping    bool // Deadline is when the daemon stops
 	// refusals counts upstreams that refused for load. mayQueue allows the next one to queue
 	// the request.
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -409,7 +409,7 @@
 		ctx, cancel = context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 	}
-	reply, err := callElsewhere[Reply](ctx, link, func() bool { return ask.Payload == nil || c.canRepeat() }, "Ask", ask)
+	reply, err := callElsewhere[Reply](ctx, link, func() bool { return ask.Payload == nil || c.reserveRepeat() }, "Ask", ask)
 	if errors.Is(err, errSilent) || err != nil && ctx.Err() != nil {
 		link.cancel(ask.ID)
 	}
--- a/mesh/lostattempt.go
+++ b/mesh/lostattempt.go
@@ -9,12 +9,13 @@
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 )
 
-// canRepeat reports whether the request would be sent elsewhere if the attempt under way were lost.
-func (c *callerRequest) canRepeat() bool {
+// reserveRepeat reports whether the request would be sent elsewhere if the attempt under way were lost, and
+// takes that from the retry budget.
+func (c *callerRequest) reserveRepeat() bool {
 	isQuarantined := c.daemon.quarantinedFor(c.fingerprint) > 0
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	return c.daemon.dispatcher.CanRepeat(time.Now(), c.outgoing, isQuarantined)
+	return c.daemon.dispatcher.ReserveRepeat(time.Now(), c.outgoing, isQuarantined)
 }
 
 // resultWithoutReply returns the result of an attempt for which the call to the peer failed.
