A stop does not wait without bound for the loop that accepts callers

What would be seen: a process that is killed at the end of its grace time, because the loop that accepts the connections of callers does not end.

Evidence: on the merged state TestStopEndsBesideGoroutineThatDoesNot fails in 3 runs of 3 with -race: "Expected '7.99s' to be less than '4s'", twice the grace time, which is when the test itself ends the goroutine. No listener of the kernel is known to cause it.

Change: Loop.Close takes a deadline; Shutdown gives it the one at which requests in flight are aborted. A loop that ends is waited for as before, so that accepted connections are drained.

After: the test passes (4.8 s for the package), with the tests of the stop, calls and late reading in platform, internal/acceptloop and internal/pipeline, all with -race.

--- a/internal/acceptloop/acceptloop.go
+++ b/internal/acceptloop/acceptloop.go
@@ -76,15 +76,19 @@
 }
 
 // Close accepts the connections that wait in the listener's queue, closes it and waits until Run has
-// ended. Connections that arrive while the queue is found empty are still reset.
-func (l *Loop) Close() {
+// ended, until the deadline at the latest. Connections that arrive while the queue is found empty are
+// still reset.
+func (l *Loop) Close(deadline time.Time) {
 	l.close.Do(func() {
 		close(l.closing)
 		if d, ok := l.listener.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(time.Unix(1, 0)) != nil {
 			_ = l.listener.Close()
 		}
 	})
-	<-l.ended
+	select {
+	case <-l.ended:
+	case <-time.After(time.Until(deadline)):
+	}
 }
 
 func (l *Loop) isClosing() bool {
--- a/internal/acceptloop/acceptloop_test.go
+++ b/internal/acceptloop/acceptloop_test.go
@@ -89,7 +89,7 @@
 			} else {
 				time.AfterFunc(50*time.Millisecond, func() { close(resume) })
 			}
-			loop.Close()
+			loop.Close(time.Now().Add(10 * time.Second))
 			So(accepted.Load(), ShouldEqual, callers)
 			_, err = net.Dial("tcp", listener.Addr().String())
 			So(err, ShouldNotBeNil)
--- a/internal/pipeline/soak_test.go
+++ b/internal/pipeline/soak_test.go
@@ -268,7 +268,7 @@
 	s.server.Stop()
 	time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
 	s.drain.Store(time.Now().UnixNano())
-	loop.Close()
+	loop.Close(time.Now().Add(10 * time.Second))
 	s.server.Drain(time.Now().Add(soakDrain))
 	if open := s.server.openConns(); len(open) > 0 {
 		problems = append(problems, fmt.Sprintf("seed %d: %d connections open after %v", s.seed, len(open), soakDrain))
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -479,7 +479,7 @@
 		}
 		time.Sleep(tickInterval)
 	}
-	d.callerLoop.Close()
+	d.callerLoop.Close(cutoff)
 	d.endAttempts()
 	d.callers.Drain(cutoff)
 	for time.Now().Before(cutoff) && !d.idle(time.Now()) {
