A reply that is there when its peer counts as silent is not dropped

Cause: invokeLink chose between both at random. Evidence: the new case of TestReplyAtEndOfCall fails without the change. Change: both ways to give up a call look for its reply first.

--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -347,18 +347,20 @@
 		case <-call.Done:
 			return nil
 		case <-giveUp:
-			if elsewhere == nil || elsewhere() {
-				return errors.Wrap(errSilent, call.ServiceMethod)
-			}
-			giveUp = nil
 		case <-ctx.Done():
-			select {
-			case <-call.Done: // a reply that is there counts, also after a pause of this process
-				return nil
-			default:
-				return ctx.Err()
-			}
 		}
+		select {
+		case <-call.Done: // a reply that is there counts, also after a pause of this process
+			return nil
+		default:
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if elsewhere == nil || elsewhere() {
+			return errors.Wrap(errSilent, call.ServiceMethod)
+		}
+		giveUp = nil
 	}
 }
 
--- a/mesh/peerclient_test.go
+++ b/mesh/peerclient_test.go
@@ -122,4 +122,14 @@
 			So(err, ShouldBeNil)
 		}
 	})
+	Convey("So is one that is there when its peer counts as silent", t, func() {
+		codec := readyCodec{sent: make(chan uint64), replied: make(chan struct{}, 1)}
+		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), client: rpc.NewClientWithCodec(codec)}
+		<-codec.replied
+		close(link.silent)
+		for range 50 {
+			_, err := invokeLink[Reply](t.Context(), link, link.silent, nil, "Ask", &AskArgs{ID: 1})
+			So(err, ShouldBeNil)
+		}
+	})
 }
