Judge the start of an upstream by the later of the fleet's time of day and this VM's

Callers would see: in a fleet of two VMs of which one is an hour behind, the daemon whose clock is right refuses the entry of an upstream that has just started, and answers 503. Before it took the entry.

Cause: the estimate of the fleet's time is the mean of the middle two clocks when their number is even, here half an hour behind. Evidence: TestClockOfOnlyPeerIsBehind fails without the change ("condition not met within 5s: the entry is in force"). Change: entries are decoded by the later of the estimate and the own clock, so that the check is never stricter than by the own clock alone. The estimate stays as it is for crash reports, where daemons have to agree.

--- a/mesh/clock.go
+++ b/mesh/clock.go
@@ -37,11 +37,15 @@
 	}
 }
 
-// decode decodes an item by the fleet's time of day. Times in the change are local.
+// decode decodes an item by the later of the fleet's time of day and this VM's: neither a wrong clock here
+// nor one elsewhere makes an upstream seem to start in the future. Times in the change are local.
 func (d *Daemon) decode(now time.Time, item replica.Item) (Change, error) {
 	d.mu.Lock()
 	timeOfDay := d.timeOfDay()
 	d.mu.Unlock()
+	if own := d.opts.TimeOfDay(); own.After(timeOfDay) {
+		timeOfDay = own
+	}
 	change, err := d.decodeAt(timeOfDay, item)
 	if u := change.Upstream; u != nil && !u.WarmAt.IsZero() {
 		u.WarmAt = now.Add(u.WarmAt.Sub(timeOfDay))
