--- a/harness/soak/check.go
+++ b/harness/soak/check.go
@@ -23,7 +23,7 @@
 const (
 	// measuringSlack allows for the delay between an event and its record.
 	measuringSlack = 50 * time.Millisecond
-	// lateSentWithin and lastShareOfGrace: a run still at work in the last share of the grace time, of a
+	// lateSentWithin and lastShareOfGrace: a run still under way in the last share of the grace time, of a
 	// request that was sent this soon after SIGTERM, may be broken off.
 	lateSentWithin   = 3 * time.Second
 	lastShareOfGrace = 1.0 / 6
@@ -141,7 +141,7 @@
 	}
 }
 
-// checkReplaced decides whether a stopping daemon replaced the answer of a run that was at work.
+// checkReplaced decides whether a stopping daemon replaced the answer of a run under way.
 func (c *checker) checkReplaced(r *Request, runs []*Run) {
 	if r.At >= r.Begin+min(r.Limit, r.Timeout)-measuringSlack || brokenOff(runs) {
 		return
--- a/harness/soak/history.go
+++ b/harness/soak/history.go
@@ -55,7 +55,7 @@
 	Running End = iota
 	// Finished means that the complete answer was written.
 	Finished
-	// Dropped means that the connection to the backend server closed while it was at work.
+	// Dropped means that the connection to the backend server closed while it was running.
 	Dropped
 	// BrokenOff means that the backend server itself ended the run or its answer early.
 	BrokenOff
