One function for the bytes that the other end has not acknowledged

linger and the codec for peers asked the system for them each in its own way, and the daemon for its backend server used the second.

--- a/internal/pipeline/linger.go
+++ b/internal/pipeline/linger.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
+	"github.com/hawthornpoint/hawthornpoint/internal/sockread"
 )
 
 const (
@@ -51,21 +51,15 @@
 }
 
 // unreceived returns the number of sent bytes that the other end of a connection has not acknowledged,
-// its end included. It is 0 where the system does not tell.
-func unreceived(netConn net.Conn) int {
-	sc, ok := netConn.(syscall.Conn)
+// its end included. It is 0 if the connection has failed and where the system does not tell.
+func unreceived(netConn net.Conn) int64 {
+	socket, ok := netConn.(syscall.Conn)
 	if !ok {
 		return 0
 	}
-	raw, err := sc.SyscallConn()
+	n, err := sockread.Unacknowledged(socket)
 	if err != nil {
 		return 0
 	}
-	n := 0
-	var controlErr error
-	err = raw.Control(func(fd uintptr) { n, controlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	if err != nil || controlErr != nil {
-		return 0
-	}
 	return n
 }
--- a/internal/sockread/sockread.go
+++ b/internal/sockread/sockread.go
@@ -1,4 +1,5 @@
-// Package sockread reads what has arrived on a connection although its read deadline is over.
+// Package sockread reads what has arrived on a connection although its read deadline is over, and tells how
+// much of what was written has not arrived at the other end.
 //
 // A read of package net fails when the deadline is over, without a look at the socket's buffer. A process
 // that got no processor time, or that sets a deadline of now to end a wait, would then give up bytes that
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
+	"github.com/hawthornpoint/hawthornpoint/internal/sockread"
 )
 
 const (
@@ -82,8 +83,8 @@
 	if !c.readsLate || !ok {
 		return true
 	}
-	unacked, err := unackedBytes(syscallConn)
-	if err == nil && unacked > 0 || err != nil && !errors.Is(err, errUnackedUnknown) {
+	unacked, err := sockread.Unacknowledged(syscallConn)
+	if err == nil && unacked > 0 || err != nil && !errors.Is(err, sockread.ErrUnknown) {
 		return false
 	}
 	c.readsLate = false
--- a/mesh/peercodec.go
+++ b/mesh/peercodec.go
@@ -12,7 +12,8 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
+
+	"github.com/hawthornpoint/hawthornpoint/internal/sockread"
 )
 
 // ackCheckInterval is how often a connection that closes is checked for unacknowledged replies.
@@ -132,9 +133,9 @@
 	discarded, closing, ended := make([]byte, 4<<10), time.Now(), false
 	for {
 		now := time.Now()
-		unacked, err := unackedBytes(conn)
+		unacked, err := sockread.Unacknowledged(conn)
 		switch {
-		case errors.Is(err, errUnackedUnknown):
+		case errors.Is(err, sockread.ErrUnknown):
 			if ended || now.Sub(closing) > peerCloseTimeout {
 				return nil
 			}
@@ -153,31 +154,3 @@
 		}
 	}
 }
-
-// errUnackedUnknown is returned by unackedBytes if the system does not tell.
-var errUnackedUnknown = errors.New("unacknowledged bytes unknown")
-
-// unackedBytes returns the number of bytes that were written to a connection and that the other end's
-// system has not acknowledged, or the error with which the connection has ended.
-func unackedBytes(c syscall.Conn) (int64, error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	n, optionErr := 0, error(nil)
-	err = raw.Control(func(fd uintptr) {
-		var failure int
-		if failure, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); optionErr == nil && failure != 0 {
-			optionErr = syscall.Errno(failure)
-		}
-		if optionErr == nil {
-			if n, optionErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); optionErr != nil {
-				optionErr = errUnackedUnknown
-			}
-		}
-	})
-	if err != nil {
-		return 0, err
-	}
-	return int64(n), optionErr
-}
