A daemon is ready once its first update is in force completely

Callers would see: 503 for requests right after the health check of a daemon that has just started says 200.

Cause: an update is put in force item by item, and a listing begins with the configuration. The health check looked at the configuration alone, so that for a moment, longer on a busy machine, the daemon counted as ready and knew no upstream. Evidence: TestReadyOnceTheFirstUpdateIsInForce fails without the change ("Expected: 503 Actual: 200"). Change: the health check also asks whether an update has been applied to its end.

--- a/mesh/apply_test.go
+++ b/mesh/apply_test.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
+	"github.com/hawthornpoint/hawthornpoint/core/routing"
 )
 
 // pausingDecoder decodes items as entries of upstreams, whose sequence number is the revision. It
@@ -68,3 +71,27 @@
 		So(d.Upstreams(), ShouldEqual, 0)
 	})
 }
+
+// Guards against callers that are sent to a daemon which knows the routes but not yet the upstreams.
+func TestReadyOnceTheFirstUpdateIsInForce(t *testing.T) {
+	Convey("A daemon is ready when its first update is in force completely, not when its configuration is", t, func() {
+		decoder := pausingDecoder{revision: 2, decoding: make(chan struct{}), resumed: make(chan struct{})}
+		d := New(Options{Settings: Settings{ReadyPath: "/ready"}, HeaderConvention: conventionStub{}, Decoder: decoder})
+		ready := func() int {
+			w := httptest.NewRecorder()
+			d.serveReady(w, httptest.NewRequest(http.MethodGet, "/ready", nil))
+			return w.Code
+		}
+		applied := make(chan struct{})
+		go func() {
+			defer close(applied)
+			d.apply(replica.Update{Items: []replica.Item{{Key: "u", Revision: 2}}, At: replica.Position{Era: 1, Revision: 2}}, "store")
+		}()
+		<-decoder.decoding
+		d.routes.Store(routing.NewTable(&routing.Config{Version: 1}))
+		So(ready(), ShouldEqual, http.StatusServiceUnavailable)
+		close(decoder.resumed)
+		<-applied
+		So(ready(), ShouldEqual, http.StatusOK)
+	})
+}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -108,6 +108,8 @@
 	// callerRequests is the number of requests of callers that have not been answered.
 	callerRequests atomic.Int64
 	routes         atomic.Pointer[routing.Table]
+	// updated says that an update has been put in force completely.
+	updated atomic.Bool
 
 	mu               stateMutex // guards the fields up to refusedVersion
 	dir              *directory.Directory
@@ -350,14 +352,14 @@
 	}
 }
 
-// serveReady answers the health check: 200 if the daemon has a configuration and is not
-// stopping, 503 otherwise.
+// serveReady answers the health check: 200 if the daemon has a configuration, knows the upstreams of its
+// first update and is not stopping, 503 otherwise.
 func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != d.settings.ReadyPath {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if d.isStopping() || d.table() == nil {
+	if d.isStopping() || d.table() == nil || !d.updated.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -238,6 +238,7 @@
 		}
 		d.change(now, change, StoredItem{Item: item, Era: at.Era}, source)
 	}
+	d.updated.Store(true)
 	if len(changed) > 0 {
 		d.log.Debug(eventUpdated, zap.String("source", source), positionField(at), zap.Int("changes", len(changed)))
 	}
