--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -329,6 +329,7 @@
 		c, err := net.Dial("tcp", l.Addr().String())
 		So(err, ShouldBeNil)
 		defer c.Close()
+		So(c.(*net.TCPConn).SetReadBuffer(128<<10), ShouldBeNil) // otherwise the kernel may take all of a response
 		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 		_, _ = io.WriteString(c, "GET /a"+versionAndHost+"\r\n")
 		r, err := http.ReadResponse(bufio.NewReaderSize(c, 128<<10), nil)
