--- a/harness/soak/check.go
+++ b/harness/soak/check.go
@@ -9,7 +9,7 @@
 
 // Terms are the bounds that the promises name.
 type Terms struct {
-	// Stable is how long a VM must have been without impairment to be bound by the promises.
+	// Stable is how long a VM must have been undisturbed for the promises to hold for it.
 	Stable time.Duration
 	// LossSlack is how long a request that crosses a close may have waited.
 	LossSlack time.Duration
@@ -204,7 +204,7 @@
 	return ""
 }
 
-// calm reports whether the asked VM and those of the runs had no unplanned impairment from the stable
+// calm reports whether the asked VM and those of the runs had no unplanned disruption from the stable
 // time before the request to its end.
 func (c *checker) calm(r *Request, runs []*Run) bool {
 	vms := []int{r.VM}
