--- a/core/routing/config.go
+++ b/core/routing/config.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
 )
 
 // Config is one version of the configuration of routes.
@@ -17,6 +19,10 @@
 	Services map[string]Service
 	// Limits bound the requests of callers.
 	Limits Limits
+	// Tenants holds the tenants whose keys requests must carry, nil if requests need none.
+	Tenants *tenancy.Table
+	// InvalidTenants holds an error for each tenant or key that was left out of Tenants.
+	InvalidTenants []error
 }
 
 // Route describes which requests it matches and how they are handled.
@@ -38,6 +44,8 @@
 	Rank int
 	// MaxUpstreams is the maximum number of upstreams that one request is sent to.
 	MaxUpstreams int
+	// Public is set when requests need no key although the configuration has tenants.
+	Public bool
 }
 
 // Destination is one service of a route. Its share of the requests is Weight divided by the
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -14,6 +14,7 @@
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
+	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
 	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
@@ -50,6 +51,7 @@
 	arrived time.Time
 
 	route      *routing.Route
+	tenant     *tenancy.Tenant // nil if the request needs none
 	outgoing   *dispatch.OutgoingRequest
 	step       dispatch.Step   // the step that led to the latest attempt
 	lastReport dispatch.Report // the outcome of the latest attempt
@@ -80,6 +82,9 @@
 	case c.head.ID == "":
 		return resultcode.BadRequest
 	}
+	if code := c.authenticate(table.Config()); code != 0 {
+		return code
+	}
 	limit := table.Config().Limits.BodyBytes
 	if limit > 0 {
 		if c.r.ContentLength > limit {
@@ -98,6 +103,17 @@
 	return 0
 }
 
+// rank returns the importance of the request.
+func (c *callerRequest) rank() int { return c.tenant.RankOf(c.route.Rank) }
+
+// tenantName returns the name of the request's tenant, empty for none.
+func (c *callerRequest) tenantName() string {
+	if c.tenant == nil {
+		return ""
+	}
+	return c.tenant.Name
+}
+
 func (c *callerRequest) readBody() resultcode.Code {
 	if c.r.Body == http.NoBody || c.r.ContentLength == 0 {
 		return 0
@@ -124,7 +140,7 @@
 	}
 	left -= time.Since(c.arrived)
 	now := time.Now()
-	service, refusal := d.admitNew(now, c.route)
+	service, refusal := d.admitNew(now, c.route, c.rank())
 	if refusal != nil {
 		c.refuseShed(service, refusal)
 		return
@@ -274,7 +290,7 @@
 func (c *callerRequest) ask(step dispatch.Step) *AskArgs {
 	now := time.Now()
 	return &AskArgs{
-		ID: c.daemon.nextAttempt(), RequestID: c.head.ID, Instance: step.Upstream.ID, Kind: c.route.Name, Rank: c.route.Rank,
+		ID: c.daemon.nextAttempt(), RequestID: c.head.ID, Instance: step.Upstream.ID, Kind: c.route.Name, Rank: c.rank(), Tenant: c.tenantName(),
 		CallerService:  c.daemon.settings.Service,
 		Fingerprint:    c.fingerprint,
 		Repeat:         c.outgoing.Sent() > 0,
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -67,6 +67,13 @@
 	// EntryLifetime is the time after which the store removes the entry of an upstream that does
 	// not renew it.
 	EntryLifetime time.Duration
+	// MaxConfigAge is how old a configuration may be that allows a request with a key: the request is refused
+	// unless the configuration was provably the newest one that long ago or later. 0 means any age.
+	MaxConfigAge time.Duration
+	// QuotaWindow, QuotaOvershoot and QuotaSlack bound the requests of a tenant with a quota over all daemons:
+	// in each window of that length, at most (rate x window + burst) x (1 + overshoot) + slack requests run.
+	QuotaWindow                time.Duration
+	QuotaOvershoot, QuotaSlack float64
 	// MemoryBytes is the memory limit of the process, 0 if unknown.
 	MemoryBytes int64
 }
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -22,6 +22,7 @@
 	eventFutureReached      = "entry no longer starts in the future"
 	eventConfig             = "configuration in force"
 	eventConfigRefused      = "configuration refused"
+	eventTenantInvalid      = "tenant not in force"
 	eventListed             = "upstream listed"
 	eventRelisted           = "upstream relisted"
 	eventOutdated           = "upstream entry outdated"
--- a/mesh/interfaces.go
+++ b/mesh/interfaces.go
@@ -19,6 +19,8 @@
 	ID string
 	// Left is how long the caller waits for the answer; 0 if not stated.
 	Left time.Duration
+	// Key is the API key of a tenant; empty if the caller sent none that can be read.
+	Key string
 }
 
 // UpstreamHead holds the metadata that is sent to the backend server with a request.
@@ -31,6 +33,8 @@
 	Instance string
 	// CallerService is the service of the VM that sent the request.
 	CallerService string
+	// Tenant is the name of the tenant whose key the caller sent; empty if it needed none.
+	Tenant string
 }
 
 // AnswerHead holds what an answer of a backend server states about the request.
@@ -60,9 +64,11 @@
 type HeaderConvention interface {
 	// Names returns the names of the headers that are specific to the convention.
 	Names() []string
-	// Request reads the metadata of a caller's request and removes their headers from h.
-	// Prepare sets all of them again.
+	// Request reads the metadata of a caller's request and removes their headers from h, except those of
+	// the tenant. Prepare sets all of them again.
 	Request(h http.Header) RequestHead
+	// RemoveTenant removes the key of a tenant and the name that the caller states for one from h.
+	RemoveTenant(h http.Header)
 	// Prepare sets the headers for the metadata of a request to the backend server.
 	Prepare(h http.Header, u UpstreamHead)
 	// Answer reads the metadata of an answer. id is the ID of the request that was sent. The
--- a/mesh/loadshed.go
+++ b/mesh/loadshed.go
@@ -22,20 +22,20 @@
 // admitNew chooses the service of a new request and decides whether the request is admitted.
 // Calls of the local backend server always are, because the work of the run that makes them
 // would be lost otherwise.
-func (d *Daemon) admitNew(now time.Time, route *routing.Route) (string, *loadshed.Refusal) {
+func (d *Daemon) admitNew(now time.Time, route *routing.Route, rank int) (string, *loadshed.Refusal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	service := d.splitter.Next(route)
 	if d.callRoutes[route.Name] {
 		return service, nil
 	}
-	return service, d.gate.Admit(now, service, route.Rank)
+	return service, d.gate.Admit(now, service, rank)
 }
 
 // refuseShed refuses a request that the gate did not admit.
 func (c *callerRequest) refuseShed(service string, refusal *loadshed.Refusal) {
 	c.daemon.log.Info(eventNotAdmitted, zap.String("id", c.head.ID), zap.String("service", service),
-		zap.String("blocked", refusal.Service), zap.Float64("level", refusal.Level), zap.Int("rank", c.route.Rank))
+		zap.String("blocked", refusal.Service), zap.Float64("level", refusal.Level), zap.Int("rank", c.rank()))
 	retryAfter := minShedRetryAfter + time.Duration(float64(shedRetryAfterSpan)*min(refusal.Level, 1))
 	c.refuse(resultcode.ShedEarly, retryAfter, "blocked_below")
 }
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -36,6 +36,7 @@
 	instance  string
 	kind      string
 	origin    string // the service of the VM that sent the request
+	tenant    string // the name of the request's tenant, empty for none
 	// fingerprint is equal for requests of one service with equal method, host, target and body.
 	fingerprint uint64
 	deadline    time.Time // of the run, zero before it starts
@@ -72,7 +73,7 @@
 func (d *Daemon) ask(a *localAttempt, args *AskArgs) Reply {
 	defer d.releaseOnPanic(a)
 	a.requestID, a.instance, a.kind, a.origin, a.isRetry = args.RequestID, args.Instance, args.Kind, args.CallerService, args.Repeat
-	a.fingerprint = args.Fingerprint
+	a.fingerprint, a.tenant = args.Fingerprint, args.Tenant
 	asked := time.Now()
 	deadline := asked.Add(args.Left)
 	decision, refused := d.requestSlot(a, args)
@@ -321,7 +322,7 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // prevents net/http from adding its own
 	}
-	d.convention.Prepare(header, UpstreamHead{RequestID: a.requestID, Left: left, Instance: a.instance, CallerService: a.origin})
+	d.convention.Prepare(header, UpstreamHead{RequestID: a.requestID, Left: left, Instance: a.instance, CallerService: a.origin, Tenant: a.tenant})
 	req := &http.Request{Method: payload.Method, URL: target, Host: payload.Host, Header: header, ContentLength: payload.Length,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	switch {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -42,6 +42,8 @@
 	Kind          string
 	Rank          int
 	CallerService string
+	// Tenant is the name of the tenant whose request it is, empty for none.
+	Tenant string
 	// Fingerprint is equal for requests of one service with equal method, host, path and body.
 	Fingerprint uint64
 	// UntilObjective and Left are the times left until the latency objective and until the
--- a/mesh/reload.go
+++ b/mesh/reload.go
@@ -22,6 +22,8 @@
 		{"ready_address", d.settings.ReadyAddress, settings.ReadyAddress}, {"metrics_address", d.settings.MetricsAddress, settings.MetricsAddress},
 		{"retry_window", d.settings.RetryWindow.String(), settings.RetryWindow.String()},
 		{"entry_lifetime", d.settings.EntryLifetime.String(), settings.EntryLifetime.String()},
+		{"max_config_age", d.settings.MaxConfigAge.String(), settings.MaxConfigAge.String()},
+		{"quota_window", d.settings.QuotaWindow.String(), settings.QuotaWindow.String()},
 		{"memory_bytes", strconv.FormatInt(d.settings.MemoryBytes, 10), strconv.FormatInt(settings.MemoryBytes, 10)},
 	} {
 		if s.current != s.changed {
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -352,6 +352,9 @@
 	d.dir.SetServices(config.ServiceNames())
 	d.applyListed()
 	d.splitter.Prune(config)
+	for _, err := range config.InvalidTenants {
+		d.log.Error(eventTenantInvalid, zap.Uint64("version", config.Version), errorField(err))
+	}
 	d.metrics.Count(metricConfigs, "in_force")
 	d.log.Info(eventConfig, zap.Uint64("version", config.Version), zap.Int("routes", len(config.Routes)),
 		positionField(item.position()), zap.String("source", source))
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -67,6 +67,9 @@
 	NotConfigured         Code = 224
 	TooManyCalls          Code = 225
 	ConfigurationMismatch Code = 226
+	UnknownKey            Code = 227
+	QuotaExceeded         Code = 228
+	ConfigurationStale    Code = 229
 )
 
 // Codes of kind OutcomeUnknown.
@@ -131,6 +134,9 @@
 	{NotConfigured, "not_configured", NotRun, http.StatusServiceUnavailable, "The daemon has not accepted a configuration yet."},
 	{TooManyCalls, "too_many_calls", NotRun, http.StatusServiceUnavailable, "The daemon already holds its maximum number of calls."},
 	{ConfigurationMismatch, "configuration_mismatch", NotRun, http.StatusConflict, "The two daemons hold configurations that disagree about this call."},
+	{UnknownKey, "unknown_key", NotRun, http.StatusUnauthorized, "The request carries no key of a tenant of the configuration."},
+	{QuotaExceeded, "quota_exceeded", NotRun, http.StatusTooManyRequests, "The tenant has used its quota."},
+	{ConfigurationStale, "configuration_stale", NotRun, http.StatusServiceUnavailable, "The daemon can't prove that its configuration is recent enough for a request with a key."},
 
 	{AttemptLost, "attempt_lost", OutcomeUnknown, http.StatusBadGateway, "The connection broke after the call was sent."},
 	{DeadlineExceeded, "deadline_exceeded", OutcomeUnknown, http.StatusGatewayTimeout, "The deadline passed after the call was sent."},
