Requests with a key only while the configuration is provably recent

Cause: a VM that is cut off from the store, frozen, or served by a peer that is behind, admits requests with a key for as long as it has not heard that the key was taken away. Nothing bounds that time.

Change: a proof (version V, instant T) says that at T the store had acknowledged no version newer than V. T is read from CLOCK_BOOTTIME before the question is sent. Replies to Follow and Sync state V and the age at the arrival of the question; the receiver dates it back from its own question, so that no chain of daemons makes a proof younger and no clocks are compared. Without a proof younger than MaxConfigAge (less 1/1000 for the rate of clocks) a request that needs a key gets 503 configuration_stale, before the key is looked up. Where the configuration has tenants, watches wait at most a tenth of the age, followers a sixth, and from 0.4 of it on a random peer is asked every 250 ms. With MaxConfigAge 0 nothing is stated, limited or asked; the gob types of the two replies have one more field, which is not sent.

Tests: one for each way to break the proof in core/freshness; a property test plays random questions, delays, losses, restarts and clocks. In platform, a VM that is cut off, VMs that the store turns away, a configuration that can't be decoded, a store restored from an older copy.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -48,6 +48,12 @@
 // At returns the position of the copy; the zero value before the first update.
 func (r *Replica) At() Position { return r.at }
 
+// Item returns the item with the key.
+func (r *Replica) Item(key string) (Item, bool) {
+	item, exists := r.items[key]
+	return item, exists
+}
+
 // Apply applies an update that is newer than the copy and returns the items that changed.
 // Older updates change nothing, nor does an incremental one of the same position or of a
 // later era: only the complete state of an era can replace a copy of an earlier one.
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -115,6 +115,14 @@
 	return fmt.Sprintf("the backend server of upstream %s broke off after %s s: %s", l.Get("upstream"), l.Get("elapsed"), l.Get("error"))
 }
 
+func staleCause(l *Line) string {
+	if l.Get("age") == "" {
+		return fmt.Sprintf("the daemon had no proof yet that configuration %s is the newest", l.Get("config"))
+	}
+	return fmt.Sprintf("the latest proof that configuration %s is the newest, by way of %s, was %s s old, and a request with a key may rely on it for %s s",
+		l.Get("config"), l.Get("way"), l.Get("age"), l.Get("max_age"))
+}
+
 // refusalCause explains a refusal, which is a daemon's own final answer, by its reason and the
 // inputs of the decision.
 func refusalCause(l *Line) string {
@@ -127,23 +135,24 @@
 		timeLeft = "an attempt failed, and too little time was left for another one"
 	}
 	explanation := map[string]string{
-		"wait_too_long":   fmt.Sprintf("the expected wait of %s s for one of the %s slots of upstream %s, with %s waiting, was more than the request could afford", l.Get("wait"), l.Get("limit"), l.Get("upstream"), l.Get("waiting")),
-		"all_asked":       "every upstream that was asked had no room",
-		"none_usable":     "no upstream of the service was usable",
-		"time_left":       timeLeft,
-		"time_over":       "its time was over",
-		"blocked_below":   "it was not let in at the entry",
-		"leaving":         "the daemon was stopping",
-		"stopping":        "the daemon was stopping, and such requests take longer than what was left",
-		"quarantined":     fmt.Sprintf("equal requests (fingerprint %s) crashed upstreams", l.Get("fingerprint")),
-		"not_configured":  "the daemon had no configuration yet",
-		"unknown_service": fmt.Sprintf("no route of configuration %s matches host %s and path %s", l.Get("config"), l.Get("host"), l.Get("path")),
-		"bad_request":     "it was no proper request, or had no ID",
-		"body_too_large":  "its body was longer than the configuration allows",
-		"not_idempotent":  "an attempt failed, and a request that may run once is not repeated",
-		"budget_spent":    "an attempt failed, and the budget for repeats was spent",
-		"attempts_spent":  "attempts failed at as many upstreams as the route allows",
-		"body_spent":      "an attempt failed after its body had been passed on",
+		"wait_too_long":       fmt.Sprintf("the expected wait of %s s for one of the %s slots of upstream %s, with %s waiting, was more than the request could afford", l.Get("wait"), l.Get("limit"), l.Get("upstream"), l.Get("waiting")),
+		"all_asked":           "every upstream that was asked had no room",
+		"none_usable":         "no upstream of the service was usable",
+		"time_left":           timeLeft,
+		"time_over":           "its time was over",
+		"blocked_below":       "it was not let in at the entry",
+		"leaving":             "the daemon was stopping",
+		"stopping":            "the daemon was stopping, and such requests take longer than what was left",
+		"quarantined":         fmt.Sprintf("equal requests (fingerprint %s) crashed upstreams", l.Get("fingerprint")),
+		"not_configured":      "the daemon had no configuration yet",
+		"configuration_stale": staleCause(l),
+		"unknown_service":     fmt.Sprintf("no route of configuration %s matches host %s and path %s", l.Get("config"), l.Get("host"), l.Get("path")),
+		"bad_request":         "it was no proper request, or had no ID",
+		"body_too_large":      "its body was longer than the configuration allows",
+		"not_idempotent":      "an attempt failed, and a request that may run once is not repeated",
+		"budget_spent":        "an attempt failed, and the budget for repeats was spent",
+		"attempts_spent":      "attempts failed at as many upstreams as the route allows",
+		"body_spent":          "an attempt failed after its body had been passed on",
 	}[l.Get("reason")]
 	if explanation == "" {
 		explanation = "the deciding input was " + l.Get("reason")
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -32,7 +32,7 @@
 	defer d.recoverPanic(panicCaller, &c.head.ID, c.panicked)
 	c.head = d.convention.Request(r.Header)
 	if code := c.admit(); code != 0 {
-		c.refuse(code, notServingRetryAfter, code.String())
+		c.refuse(code, refusalWait(code), code.String())
 		return
 	}
 	if left := d.quarantinedFor(c.fingerprint); left > 0 {
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 	"github.com/hawthornpoint/hawthornpoint/core/fleetclock"
+	"github.com/hawthornpoint/hawthornpoint/core/freshness"
 	"github.com/hawthornpoint/hawthornpoint/core/loadshed"
 	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
@@ -118,7 +119,7 @@
 	// updated says that an update has been put in force completely.
 	updated atomic.Bool
 
-	mu               stateMutex // guards the fields up to refusedVersion
+	mu               stateMutex // guards the fields up to storeConfig
 	dir              *directory.Directory
 	replica          replica.Replica
 	splitter         routing.Splitter
@@ -157,6 +158,8 @@
 	// a peer has sent and that was refused here.
 	config         *StoredItem
 	refusedVersion uint64
+	freshness      *freshness.Keeper
+	storeConfig    storeConfig
 
 	// applyMu is held while an update is applied to the replica and put in force, so that updates
 	// of the store and of peers take effect in the order in which the replica accepts them. It is
@@ -210,8 +213,9 @@
 		callGraph: callgraph.New(), callMeter: loadshed.NewMeter(), entryMeter: loadshed.NewMeter(), gate: loadshed.NewGate(opts.Rand.Float64), callRoutes: make(map[string]bool),
 		splitter: routing.Splitter{Rand: opts.Rand},
 		sources:  watchers.New(watchers.Daemon{Address: settings.BackendAddress, Zone: settings.Zone}), changed: make(chan struct{}),
-		future:  make(map[string]StoredItem),
-		waiting: make(map[uint64]*localAttempt), peers: make(map[string]*peer), wakeSync: make(chan struct{}, 1),
+		freshness: freshness.New(settings.MaxConfigAge),
+		future:    make(map[string]StoredItem),
+		waiting:   make(map[uint64]*localAttempt), peers: make(map[string]*peer), wakeSync: make(chan struct{}, 1),
 		crashes: quarantine.New(quarantine.Config{}), wakeReports: make(chan struct{}, 1),
 	}
 	d.grace, d.seeds = settings.Grace, settings.Seeds
@@ -439,6 +443,7 @@
 	for _, id := range expired {
 		d.log.Info(eventExpired, zap.String("upstream", id), zap.String("reason", "not listed after the store has recovered"))
 	}
+	d.checkFreshness()
 	d.backend.closeIdle(now, false)
 }
 
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -58,10 +58,11 @@
 // follow waits once for changes from a source. It returns false if the source failed. If following
 // is false, the source replies at once, which shows whether it can serve as one.
 func (d *Daemon) follow(source string, following bool) bool {
-	wait := followWait
+	wait := d.followTime()
 	if !following {
 		wait = 0
 	}
+	asked, _ := d.instant()
 	reply, err := d.askSource(source, wait)
 	now := time.Now()
 	d.mu.Lock()
@@ -75,6 +76,7 @@
 	}
 	d.mu.Unlock()
 	if err != nil {
+		d.renewFromPeer(asked, reply.Proven)
 		if d.ctx.Err() == nil {
 			d.metrics.Count(metricSourceFailures)
 			d.log.Info(eventSourceFailed, zap.String("source", source), errorField(err))
@@ -82,7 +84,9 @@
 		return false
 	}
 	d.apply(reply.Update, "watcher "+source)
-	if reply.Config != nil && !d.applyConfig(reply.Config, "watcher "+source) {
+	refused := reply.Config != nil && !d.applyConfig(reply.Config, "watcher "+source)
+	d.renewFromPeer(asked, reply.Proven)
+	if refused {
 		d.pause(refusedConfigPause)
 	}
 	return true
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hawthornpoint/hawthornpoint/core/bodyparts"
+	"github.com/hawthornpoint/hawthornpoint/core/freshness"
 	"github.com/hawthornpoint/hawthornpoint/core/loadshed"
 	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
@@ -177,6 +178,8 @@
 	Update replica.Update
 	// Config is the configuration in force, if it is newer than the sender's and not in Update.
 	Config *StoredItem
+	// Proven is the daemon's latest proof that the configuration is the newest; nil for none.
+	Proven *freshness.Statement
 }
 
 // FollowArgs requests the changes after a state and waits for them up to Wait.
@@ -200,6 +203,8 @@
 	Doubtful time.Duration
 	// Clock is the time of day of the daemon's VM in Unix milliseconds.
 	Clock int64
+	// Proven is the daemon's latest proof that the configuration is the newest; nil for none.
+	Proven *freshness.Statement
 }
 
 // ReportsArgs carries crash reports. With Exchange set, the peer's reports are requested.
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -30,6 +30,7 @@
 	metricSourceFailures  = counter("sources_failed_total", "Daemons that were to pass on changes of the store and did not.")
 	metricUnreadableItems = counter("items_unreadable_total", "Items of the store that can't be decoded.")
 	metricConfigs         = counter("configurations_total", "Configurations that were put in force or refused.", "result")
+	metricProofs          = counter("configuration_proofs_total", "Proofs that the configuration is the newest, by the way in which they came.", "way")
 	metricSyncs           = counter("peer_syncs_total", "Exchanges with a peer that holds newer changes.", "result")
 	metricFailedNotices   = counter("peer_notices_failed_total", "Notices of changes that did not reach a peer.")
 	metricPanics          = counter("panics_total", "Panics that ended one request, by the part of its handling.", "where")
@@ -45,6 +46,7 @@
 	metricRate      = gauge("backend_rate_limit", "Requests a second that the local backend server has stated as its limit, rounded up; 0 for none.")
 	metricUpstreams = gauge("upstreams", "Upstreams that are known.")
 	metricVersion   = gauge("configuration_version", "Version of the configuration in force; 0 for none.")
+	metricProofAge  = gauge("configuration_proof_age_seconds", "Age of the latest proof that the configuration is the newest; -1 for none.")
 	metricEra       = gauge("store_era", "Era of the store that is in force; it rises when the store is restored from a copy.")
 	metricRevision  = gauge("store_revision", "Revision of the store that is in force.")
 	metricSuspects  = gauge("crash_suspects", "Fingerprints of requests for which there is a crash report, a refusal or a clearance.")
@@ -120,6 +122,7 @@
 	d.metrics.Gauge(metricRevision, locked(func() int { return int(d.replica.At().Revision) }))
 	d.metrics.Gauge(metricSuspects, locked(d.crashes.Len))
 	d.metrics.Gauge(metricGated, locked(func() int { return len(d.gate.Levels()) }))
+	d.metrics.Gauge(metricProofAge, d.proofAge)
 	d.metrics.Gauge(metricVersion, func() float64 {
 		if t := d.table(); t != nil {
 			return float64(t.Config().Version)
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -232,18 +232,24 @@
 
 // Follow waits for changes after a state, up to a limit, and returns them.
 func (c *PeerConn) Follow(args *FollowArgs, reply *FollowReply) error {
+	arrival := c.daemon.arrival()
 	if args.From != "" {
 		c.daemon.notePeerState(args.Since, c.daemon.peerAddress(args.From))
 	}
 	*reply = c.daemon.awaitChanges(c.ctx, args.Since, min(args.Wait, maxFollowWait))
 	reply.Clock = c.daemon.statedTime()
+	c.daemon.mu.Lock()
+	defer c.daemon.mu.Unlock()
+	reply.Proven = c.daemon.stateProof(arrival)
 	return nil
 }
 
 // Sync returns the changes after a state at once.
 func (c *PeerConn) Sync(args *SyncArgs, reply *SyncReply) error {
+	arrival := c.daemon.arrival()
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
 	reply.Update, reply.Config = c.daemon.changesSince(args.Since)
+	reply.Proven = c.daemon.stateProof(arrival)
 	return nil
 }
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -76,12 +76,14 @@
 			}
 			probe = true
 		}
+		base := d.proofBase()
 		update, err := d.readStore(needList, probe)
 		d.metrics.Count(metricReads, readResult(err))
 		switch {
 		case err == nil:
 			d.recordStoreRead(failures)
 			changes := d.apply(update, "store")
+			d.renewFromStore(base, update)
 			if changes > 0 {
 				d.notifyPeers()
 			}
@@ -137,6 +139,9 @@
 	defer d.mu.Unlock()
 	spread := 2 * (time.Duration(watchers.Count(d.fleet()))*watchRenewInterval - minWatchTime)
 	wait := minWatchTime + time.Duration(d.opts.Rand.Float64()*float64(max(spread, minWatchTime)))
+	if d.hasTenants() {
+		wait = d.freshness.WatchTime(wait)
+	}
 	return min(wait, maxWatchTime)
 }
 
@@ -237,6 +242,7 @@
 				positionField(replica.Position{Era: at.Era, Revision: item.Revision}), errorField(err))
 		}
 		d.change(now, change, StoredItem{Item: item, Era: at.Era}, source)
+		d.noteStoreConfig(change, item)
 	}
 	d.updated.Store(true)
 	if len(changed) > 0 {
@@ -387,8 +393,8 @@
 	}
 }
 
-// peerLoop updates the replica from peers while the store is unavailable, and from a peer that
-// holds a newer replica.
+// peerLoop updates the replica from peers while the store is unavailable or the proof that the
+// configuration is recent ages, and from a peer that holds a newer replica.
 func (d *Daemon) peerLoop() {
 	for d.ctx.Err() == nil {
 		timer := time.NewTimer(peerSyncInterval)
@@ -416,7 +422,7 @@
 	switch {
 	case newer != "":
 		return newer
-	case !d.storeUnavailable && !d.replica.At().IsZero():
+	case !d.storeUnavailable && !d.replica.At().IsZero() && !d.agingProof():
 		return ""
 	}
 	candidates := d.peerAddresses()
@@ -436,6 +442,7 @@
 func (d *Daemon) syncFrom(address string) {
 	ctx, cancel := context.WithTimeout(d.ctx, peerSyncTimeout)
 	defer cancel()
+	asked, _ := d.instant()
 	reply, err := callPeer[SyncReply](ctx, d.peer(address), "Sync", &SyncArgs{Since: d.requestState()})
 	if err != nil {
 		d.metrics.Count(metricSyncs, "failed")
@@ -443,7 +450,9 @@
 	}
 	d.metrics.Count(metricSyncs, "ok")
 	changes := d.apply(reply.Update, "peer "+address)
-	if d.applyConfig(reply.Config, "peer "+address) || changes > 0 {
+	configured := d.applyConfig(reply.Config, "peer "+address)
+	d.renewFromPeer(asked, reply.Proven)
+	if configured || changes > 0 {
 		d.notifyPeers()
 	}
 }
