--- a/core/tenancy/tenancy.go
+++ b/core/tenancy/tenancy.go
@@ -45,6 +45,8 @@
 type Table struct {
 	byKey  map[digest]*Tenant
 	byName map[string]*Tenant
+	// limited says that some tenant has a quota.
+	limited bool
 }
 
 // NewTable returns the table of the tenants that are valid, and an error for each that is not. An error
@@ -63,6 +65,7 @@
 			continue
 		}
 		t.byName[tenant.Name] = &tenant
+		t.limited = t.limited || tenant.Limited()
 		problems = append(problems, t.addKeys(i, &tenant)...)
 		tenant.Keys = nil
 	}
@@ -120,5 +123,8 @@
 // ByName returns the tenant with the name, nil if there is none.
 func (t *Table) ByName(name string) *Tenant { return t.byName[name] }
 
+// Limited reports whether some tenant has a quota.
+func (t *Table) Limited() bool { return t.limited }
+
 // Len returns the number of tenants.
 func (t *Table) Len() int { return len(t.byName) }
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+	"github.com/hawthornpoint/hawthornpoint/core/quota"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
@@ -52,6 +53,8 @@
 
 	route      *routing.Route
 	tenant     *tenancy.Tenant // nil if the request needs none
+	token      quota.Token     // valid if hasToken is set
+	hasToken   bool
 	outgoing   *dispatch.OutgoingRequest
 	step       dispatch.Step   // the step that led to the latest attempt
 	lastReport dispatch.Report // the outcome of the latest attempt
@@ -138,19 +141,22 @@
 	if left <= 0 {
 		left = c.route.Timeout
 	}
-	left -= time.Since(c.arrived)
-	now := time.Now()
-	service, refusal := d.admitNew(now, c.route, c.rank())
+	service, refusal := d.admitNew(time.Now(), c.route, c.rank())
 	if refusal != nil {
 		c.refuseShed(service, refusal)
 		return
 	}
-	step := c.open(now, service, left)
+	if !c.takeToken() {
+		return
+	}
+	left -= time.Since(c.arrived)
+	step := c.open(time.Now(), service, left)
 	c.rest.ended = make(chan struct{})
 	defer close(c.rest.ended)
 	for {
 		if step.Code != 0 {
 			d.countEnd(c.route, service, step.Code)
+			c.returnToken(step.Code)
 			c.refuse(step.Code, step.RetryAfter, step.Reason)
 			return
 		}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/internal/telemetry"
 	"github.com/hawthornpoint/hawthornpoint/internal/workgroup"
+	"github.com/hawthornpoint/hawthornpoint/quotas"
 )
 
 const (
@@ -149,10 +150,12 @@
 	closeBy          time.Time // until when a stopping daemon delivers replies to peers; zero without a stop
 	storeUnavailable bool
 	// watching says that this daemon watches the store itself and the last read succeeded.
-	watching  bool
-	sources   *watchers.Selector
-	changed   chan struct{} // closed when the replica changes or watching ends
-	newerPeer string        // address of a peer that has newer changes
+	watching bool
+	sources  *watchers.Selector
+	// listedChanged says that an upstream was listed or removed since the quotas received the list.
+	listedChanged bool
+	changed       chan struct{} // closed when the replica changes or watching ends
+	newerPeer     string        // address of a peer that has newer changes
 	// config is the item of the configuration in force. refusedVersion is the latest version that
 	// a peer has sent and that was refused here.
 	config         *StoredItem
@@ -164,6 +167,8 @@
 	applyMu sync.Mutex
 	future  map[string]StoredItem // entries that start in the future, by key; guarded by applyMu
 
+	quotas *quotas.Controller
+
 	peersMu sync.Mutex // guards peers
 	peers   map[string]*peer
 
@@ -223,6 +228,7 @@
 		panicked:  func(value any) { d.logPanic(panicBody, "", value) },
 		connected: d.backendConnected}
 	d.declareGauges()
+	d.quotas = d.newQuotas()
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Zone: settings.Zone, Rand: opts.Rand,
 		BudgetRatio: settings.RetryRatio, BudgetSlack: settings.RetrySlack, BudgetWindow: settings.RetryWindow,
@@ -435,7 +441,9 @@
 		d.dispatcher.Prune()
 		d.applyListed()
 	}
+	d.tickQuotas()
 	d.mu.Unlock()
+	d.quotas.Tick()
 	for _, id := range expired {
 		d.log.Info(eventExpired, zap.String("upstream", id), zap.String("reason", "not listed after the store has recovered"))
 	}
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -34,6 +34,9 @@
 	metricFailedNotices   = counter("peer_notices_failed_total", "Notices of changes that did not reach a peer.")
 	metricPanics          = counter("panics_total", "Panics that ended one request, by the part of its handling.", "where")
 	metricDropped         = counter("log_lines_dropped_total", "Log lines that were dropped, by event.", "event")
+	metricQuotaDecisions  = counter("quota_decisions_total", "Requests of tenants with a quota by the decision about them.", "decision")
+	metricQuotaRefusals   = counter("quota_refusals_total", "Requests that were refused for the quota of their tenant.", "tenant", "reason")
+	metricQuotaQuestions  = counter("quota_questions_total", "Questions to the owners of tenants by their result.", "result")
 
 	metricRequestTime = histogram("request_seconds", "Time from a caller's request to its final answer.", "kind", "outcome")
 	metricQueueTime   = histogram("queue_seconds", "Time for which a request waited for a slot of the local backend server.", "kind", "outcome")
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -74,6 +74,9 @@
 	if t := d.table(); t != nil {
 		fields = append(fields, zap.Uint64("config", t.Config().Version))
 	}
+	if c.tenant != nil {
+		fields = append(fields, zap.String("tenant", c.tenant.Name))
+	}
 	if c.outgoing != nil {
 		fields = append(fields, zap.Int("asked", c.outgoing.Asked()), zap.Int("sent", c.outgoing.Sent()))
 	}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -321,6 +321,7 @@
 // local backend server. d.mu is held.
 func (d *Daemon) applyListed() {
 	d.setOriginVMs()
+	d.listedChanged = true
 	local, listed := d.dir.At(d.settings.BackendAddress)
 	if !listed || local == d.local {
 		return
