Owners of quotas stop in the smaller part of a split network

Cause: a group of daemons that is cut off from the store and from all others, and whose members reach each other, has the same list of daemons throughout. Its owners went on to grant while the others chose new ones, up to twice the quota. Ruled out: asking for a majority of all daemons, whose messages grow with the fleet.

Change: an owner grants only while it reaches most of the daemons that it asked in the last 3 s, at least 24 of them. A VM that refuses the connection counts as reached. The property test splits the network too.

--- a/core/quota/bounds.go
+++ b/core/quota/bounds.go
@@ -53,10 +53,16 @@
 	if daemons == 0 {
 		return 0, 0
 	}
-	total := int(floorShare * b.allowance(l))
+	total := whole(floorShare * b.allowance(l))
 	each = min(max(total/daemons, 1), maxFloor)
 	return min(total/each, daemons), each
 }
 
+// whole returns the whole part of a number of tokens, of at most maxTokens.
+func whole(tokens float64) int { return int(min(tokens, maxTokens)) }
+
+// maxTokens bounds what is granted at once.
+const maxTokens = 1 << 16
+
 // maxFloor bounds the memory of a floor.
 const maxFloor = 256
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -30,7 +30,7 @@
 
 // grant takes tokens for requests that wait and, if the bucket is far from empty, some in advance.
 func (b *bucket) grant(now time.Duration, need, spare int, window time.Duration) Grant {
-	granted := min(need, int(b.tokens))
+	granted := min(need, whole(b.tokens))
 	b.tokens -= float64(granted)
 	if missing := need - granted; missing > 0 {
 		g := Grant{Tokens: granted, Free: b.free(now)}
@@ -39,7 +39,7 @@
 		b.returns = min(now+g.Return+time.Duration(missing-1)*step, now+window)
 		return g
 	}
-	if extra := min(spare, int((b.tokens-b.capacity/2)/2)); extra > 0 {
+	if extra := min(spare, whole((b.tokens-b.capacity/2)/2)); extra > 0 {
 		b.tokens -= float64(extra)
 		granted += extra
 	}
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -20,6 +20,11 @@
 	// maxContactGap is the longest time without contact after which buckets go on. It is shorter than the time
 	// after which the store removes an upstream that it does not hear of.
 	maxContactGap = 2 * time.Second
+	// majorityTime is how long a daemon counts that has been reached, or not. It is shorter than the time after
+	// which the store removes an upstream that it does not hear of.
+	majorityTime = 3 * time.Second
+	// minAsked is the number of daemons in majorityTime below which an owner asks some more at random.
+	minAsked = 24
 	// unreachableTime is how long an owner that has not answered is not waited for.
 	unreachableTime = 500 * time.Millisecond
 	// disownedTime is how long a daemon that is not the owner, or owns a tenant for too short a time, is not
@@ -116,7 +121,7 @@
 	TenantUnlimited
 	OwnerUnreachable
 	OwnerReachable
-	OwnershipTaken
+	OwnershipBegun
 	ContactLost
 	ContactRegained
 )
@@ -126,6 +131,9 @@
 	wants            map[string]int // requests that wait for the next question, by tenant
 	unreachableUntil time.Duration
 	doubtful         bool // the latest question was not answered
+	// endedAt is when the latest question ended, and reached says that it reached the VM of the daemon.
+	endedAt time.Duration
+	reached bool
 }
 
 // Node is the part of one daemon. It is not safe for concurrent use.
@@ -148,17 +156,19 @@
 	// ticked is the time of the latest Tick, and confirmFrom when a pause was noticed: a contact must be later.
 	ticked, confirmFrom time.Duration
 	inContact           bool
-	buckets             map[string]*bucket
-	holders             map[string]*holder
-	links               map[string]*link
-	swept               time.Duration
-	events              []Event
+	// majorityAt is the latest time at which the daemon reached most of those that it asked.
+	majorityAt time.Duration
+	buckets    map[string]*bucket
+	holders    map[string]*holder
+	links      map[string]*link
+	swept      time.Duration
+	events     []Event
 }
 
 // New returns the part of the daemon with the given name, which starts now. random returns a number from 0 to 1.
 func New(self string, bounds Bounds, random func() float64, now time.Duration) *Node {
 	return &Node{
-		self: self, bounds: bounds, random: random, started: now, from: now, contact: now, ticked: now, inContact: true,
+		self: self, bounds: bounds, random: random, started: now, from: now, contact: now, ticked: now, majorityAt: now, inContact: true,
 		buckets: make(map[string]*bucket), holders: make(map[string]*holder), links: make(map[string]*link),
 	}
 }
@@ -404,7 +414,7 @@
 		n.recordContact(now, sent)
 	}
 	l := n.link(daemon)
-	l.unreachableUntil = 0
+	l.unreachableUntil, l.endedAt, l.reached = 0, now, true
 	if l.doubtful {
 		l.doubtful = false
 		n.event(Event{Kind: OwnerReachable, Subject: daemon})
@@ -427,10 +437,11 @@
 	}
 }
 
-// Failed records that a daemon has not answered a question.
-func (n *Node) Failed(now time.Duration, daemon string) {
+// Failed records that a daemon has not answered a question. ended says that its VM was reached, which refused the
+// connection, so that the daemon does not run.
+func (n *Node) Failed(now time.Duration, daemon string, ended bool) {
 	l := n.link(daemon)
-	l.unreachableUntil = now + unreachableTime
+	l.unreachableUntil, l.endedAt, l.reached = now+unreachableTime, now, ended
 	if !l.doubtful {
 		l.doubtful = true
 		n.event(Event{Kind: OwnerUnreachable, Subject: daemon})
@@ -444,12 +455,45 @@
 		return
 	}
 	if at-n.contact > maxContactGap {
-		n.from = max(n.from, now+handoverTime)
-		clear(n.buckets)
+		n.beginAgain(now)
 	}
 	n.contact = at
 }
 
+// beginAgain makes the daemon like one that has become owner.
+func (n *Node) beginAgain(now time.Duration) {
+	n.from = max(n.from, now+handoverTime)
+	clear(n.buckets)
+}
+
+// reachesMost reports whether the daemon has reached most of those that it asked recently, itself included.
+// Otherwise it may be in the smaller part of a split network, and have been replaced as owner in the other one.
+func (n *Node) reachesMost(now time.Duration) bool {
+	asked, reached := n.countAsked(now)
+	if 2*(reached+1) <= asked+1 {
+		return false
+	}
+	if now-n.majorityAt > maxContactGap {
+		n.beginAgain(now)
+	}
+	n.majorityAt = now
+	return true
+}
+
+// countAsked returns the numbers of daemons that were asked in the latest majorityTime, and that were reached then.
+func (n *Node) countAsked(now time.Duration) (asked, reached int) {
+	for _, l := range n.links {
+		if l.endedAt == 0 || now-l.endedAt > majorityTime {
+			continue
+		}
+		asked++
+		if l.reached {
+			reached++
+		}
+	}
+	return asked, reached
+}
+
 // mayGrant reports whether the daemon has been in contact with another one recently enough to be owner.
 func (n *Node) mayGrant(now time.Duration) bool {
 	return len(n.daemons) == 1 && n.known[n.self] || n.inContactAt(now)
@@ -457,7 +501,7 @@
 
 func (n *Node) inContactAt(now time.Duration) bool {
 	n.noticePause(now)
-	in := now-n.contact <= contactTime && n.contact >= n.confirmFrom
+	in := n.reachesMost(now) && now-n.contact <= contactTime && n.contact >= n.confirmFrom
 	if in != n.inContact {
 		n.inContact = in
 		kind := ContactLost
@@ -480,10 +524,13 @@
 // NeedsContact returns the daemon that is to be asked so that this one may grant tokens, empty if none is.
 func (n *Node) NeedsContact(now time.Duration) string {
 	n.noticePause(now)
-	if now-n.contact < contactInterval && n.contact >= n.confirmFrom {
-		return ""
+	if now-n.contact >= contactInterval || n.contact < n.confirmFrom {
+		return n.other()
 	}
-	return n.other()
+	if asked, _ := n.countAsked(now); asked < min(minAsked, len(n.daemons)-1) {
+		return n.other()
+	}
+	return ""
 }
 
 // MayGrant reports whether the daemon may grant tokens now. If it may not, a question to NeedsContact helps.
@@ -514,19 +561,19 @@
 		b = &bucket{limit: l, capacity: n.bounds.capacity(l), at: n.from}
 		n.buckets[w.Tenant] = b
 		if n.from != n.started {
-			n.event(Event{Kind: OwnershipTaken, Subject: w.Tenant, Limit: l})
+			n.event(Event{Kind: OwnershipBegun, Subject: w.Tenant, Limit: l})
 		}
 	}
 	b.settle(now, l, n.bounds.capacity(l))
 	if now < b.at {
 		return Grant{NotOwner: true}
 	}
-	return b.grant(now, max(w.Need, 0), max(w.Spare, 0), n.bounds.Window)
+	return b.grant(now, min(max(w.Need, 0), maxTokens), min(max(w.Spare, 0), maxTokens), n.bounds.Window)
 }
 
 // Tick drops the state of tenants without requests. It is called every 100 ms or more often.
 func (n *Node) Tick(now time.Duration) {
-	n.noticePause(now)
+	n.inContactAt(now)
 	if now-n.swept < sweepInterval {
 		return
 	}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -19,6 +19,7 @@
 	alive    []bool
 	paused   []bool
 	cut      []bool
+	side     []int           // of a split network; the store is on side 0
 	asking   map[[2]int]bool // questions under way
 	messages []message
 	bounds   Bounds
@@ -51,6 +52,7 @@
 		f.limits = append(f.limits, make(map[string]Limit))
 	}
 	f.alive, f.paused, f.cut = make([]bool, count), make([]bool, count), make([]bool, count)
+	f.side = make([]int, count)
 	for i := range count {
 		f.alive[i] = true
 		f.nodes[i].SetDaemons(0, f.names)
@@ -111,7 +113,7 @@
 		switch {
 		case m.at > f.now || f.paused[m.to] && f.alive[m.to]:
 			later = append(later, m)
-		case !f.alive[m.to] || m.from != m.to && (f.cut[m.to] || f.cut[m.from]) || lost():
+		case !f.alive[m.to] || m.from != m.to && (f.cut[m.to] || f.cut[m.from] || f.side[m.to] != f.side[m.from]) || lost():
 		case !m.answer:
 			reply := f.nodes[m.to].Serve(f.now, m.wants, func(t string) (Limit, bool) { l, ok := f.limits[m.to][t]; return l, ok })
 			f.send(message{sent: m.sent, from: m.to, to: m.from, answer: true, wants: m.wants, reply: reply})
@@ -153,7 +155,7 @@
 		for to := range f.nodes {
 			if f.asking[[2]int{i, to}] {
 				delete(f.asking, [2]int{i, to})
-				n.Failed(f.now, f.names[to])
+				n.Failed(f.now, f.names[to], !f.alive[to] && !f.cut[i] && !f.cut[to] && f.side[i] == f.side[to])
 			}
 		}
 		waiting := f.waiting[i]
@@ -216,6 +218,7 @@
 		}
 		loss := rapid.SampledFrom([]float64{0, 0, 0.05, 0.5}).Draw(t, "loss")
 		skewed := rapid.Bool().Draw(t, "one daemon gets most requests")
+		splitUntil := time.Duration(0)
 		wake, listed := make([]time.Duration, count), make([]bool, count)
 		removedAt, receive := make([]time.Duration, count), make([]time.Duration, count)
 		for i := range listed {
@@ -246,7 +249,7 @@
 			}
 			if random.IntN(150) == 0 {
 				i := random.IntN(count)
-				switch action := rapid.IntRange(0, 6).Draw(t, "action"); {
+				switch action := rapid.IntRange(0, 7).Draw(t, "action"); {
 				case action == 0:
 					f.paused[i], wake[i] = true, f.now+time.Duration(random.IntN(5000))*ms
 				case action == 1 && f.running(i):
@@ -255,6 +258,11 @@
 					f.alive[i], wake[i] = false, f.now+time.Duration(random.IntN(6000))*ms
 				case action == 3:
 					f.cut[i], wake[i] = true, f.now+time.Duration(random.IntN(6000))*ms
+				case action == 5 && splitUntil == 0:
+					splitUntil = f.now + time.Duration(random.IntN(8000))*ms
+					for j := range f.side {
+						f.side[j] = random.IntN(2)
+					}
 				case action == 4:
 					for j := range f.nodes {
 						if f.running(j) && random.IntN(2) == 0 {
@@ -263,8 +271,12 @@
 					}
 				}
 			}
+			if splitUntil > 0 && f.now >= splitUntil {
+				splitUntil, f.side = 0, make([]int, count)
+				changed()
+			}
 			for i := range f.nodes {
-				away := f.paused[i] || !f.alive[i] || f.cut[i]
+				away := f.paused[i] || !f.alive[i] || f.cut[i] || f.side[i] > 0
 				switch {
 				case away && removedAt[i] == 0:
 					removedAt[i] = f.now + 4*time.Second // the store's time for entries that are not renewed
@@ -282,7 +294,7 @@
 						f.restart(i, present())
 					}
 				}
-				if receive[i] > 0 && f.now >= receive[i] && f.running(i) && !f.cut[i] {
+				if receive[i] > 0 && f.now >= receive[i] && f.running(i) && !f.cut[i] && f.side[i] == 0 {
 					receive[i] = 0
 					f.nodes[i].SetDaemons(f.now, present())
 				}
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,6 +38,7 @@
 	mu     sync.Mutex
 	link   *peerLink
 	dialed chan struct{} // closed when the current dial has ended; nil if there is none
+	ended  bool          // the latest dial was refused by the VM
 }
 
 // peerLink is one connection to a peer.
@@ -126,6 +128,7 @@
 	defer p.mu.Unlock()
 	close(p.dialed)
 	p.dialed = nil
+	p.ended = errors.Is(err, syscall.ECONNREFUSED)
 	if err != nil {
 		p.link = nil
 		return nil, errors.Wrap(errUnreachable, err.Error())
@@ -134,6 +137,13 @@
 	return link, nil
 }
 
+// hasEnded reports whether the VM of the peer refused the latest connection, so that no daemon ran there.
+func (p *peer) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
 func (p *peer) dial() (*peerLink, error) {
 	d := p.daemon
 	ctx, cancel := context.WithTimeout(d.ctx, peerDialTimeout)
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
+
 	"github.com/hawthornpoint/hawthornpoint/core/quota"
 	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
 	"github.com/hawthornpoint/hawthornpoint/quotas"
@@ -19,7 +21,12 @@
 		Bounds: quota.Bounds{Window: d.settings.QuotaWindow, Overshoot: d.settings.QuotaOvershoot, Slack: d.settings.QuotaSlack},
 		Count:  func(result string) { d.metrics.Count(metricQuotaQuestions, result) },
 		Ask: func(ctx context.Context, daemon string, wants []quota.Want) (quota.Answer, error) {
-			return callPeer[quota.Answer](ctx, d.peer(d.peerAddress(daemon)), "Tokens", &TokensArgs{Wants: wants})
+			p := d.peer(d.peerAddress(daemon))
+			answer, err := callPeer[quota.Answer](ctx, p, "Tokens", &TokensArgs{Wants: wants})
+			if errors.Is(err, errUnreachable) && p.hasEnded() {
+				err = quotas.ErrEnded
+			}
+			return answer, err
 		},
 		LimitOf: func(name string) (quota.Limit, bool) {
 			table := d.table()
--- a/quotas/controller.go
+++ b/quotas/controller.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/hawthornpoint/hawthornpoint/core/quota"
@@ -34,11 +35,14 @@
 	eventTenantUnlimited  = "tenant no longer limited"
 	eventOwnerUnreachable = "quota owner does not answer"
 	eventOwnerReachable   = "quota owner answers again"
-	eventOwnershipTaken   = "quota ownership taken over"
+	eventOwnershipBegun   = "quota ownership begun"
 	eventContactLost      = "quota grants suspended"
 	eventContactRegained  = "quota grants resumed"
 )
 
+// ErrEnded is returned by Options.Ask if the VM of the daemon was reached and the daemon does not run.
+var ErrEnded = errors.New("the daemon does not run")
+
 // Outcome is the outcome of a request for a token, as the value of a label.
 type Outcome string
 
@@ -67,6 +71,7 @@
 	Self   string
 	Bounds quota.Bounds
 	// Ask sends a question to another daemon. It returns when ctx ends, at the latest.
+	// Errors include ErrEnded.
 	Ask func(ctx context.Context, daemon string, wants []quota.Want) (quota.Answer, error)
 	// LimitOf returns the limit of a tenant in the configuration in force, and false if it has none.
 	LimitOf func(tenant string) (quota.Limit, bool)
@@ -234,7 +239,7 @@
 		cancel()
 		c.mu.Lock()
 		if err != nil {
-			c.node.Failed(c.opts.Now(), daemon)
+			c.node.Failed(c.opts.Now(), daemon, errors.Is(err, ErrEnded))
 			c.opts.Count("failed")
 		} else {
 			c.node.Answered(c.opts.Now(), sent, daemon, wants, answer)
@@ -304,8 +309,8 @@
 			c.opts.Log.Info(eventOwnerUnreachable, zap.String("daemon", e.Subject))
 		case quota.OwnerReachable:
 			c.opts.Log.Info(eventOwnerReachable, zap.String("daemon", e.Subject))
-		case quota.OwnershipTaken:
-			c.opts.Log.Info(eventOwnershipTaken, zap.String("tenant", e.Subject), zap.Float64("rate", e.Limit.Rate), zap.Float64("burst", e.Limit.Burst))
+		case quota.OwnershipBegun:
+			c.opts.Log.Info(eventOwnershipBegun, zap.String("tenant", e.Subject), zap.Float64("rate", e.Limit.Rate), zap.Float64("burst", e.Limit.Burst))
 		case quota.ContactLost:
 			c.opts.Log.Info(eventContactLost, zap.String("reason", "no other daemon with the same list of daemons has answered"))
 		case quota.ContactRegained:
