--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -141,6 +141,8 @@
 		"time_left":           timeLeft,
 		"time_over":           "its time was over",
 		"blocked_below":       "it was not let in at the entry",
+		"quota":               fmt.Sprintf("tenant %s had used its quota over all daemons", l.Get("tenant")),
+		"owner_unreachable":   fmt.Sprintf("the daemon that keeps the quota of tenant %s did not answer, and the share of this daemon was used up", l.Get("tenant")),
 		"leaving":             "the daemon was stopping",
 		"stopping":            "the daemon was stopping, and such requests take longer than what was left",
 		"quarantined":         fmt.Sprintf("equal requests (fingerprint %s) crashed upstreams", l.Get("fingerprint")),
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -77,6 +77,9 @@
 	if code == resultcode.ConfigurationStale {
 		fields = append(fields, d.statedProof()...)
 	}
+	if c.tenant != nil {
+		fields = append(fields, zap.String("tenant", c.tenant.Name))
+	}
 	if c.outgoing != nil {
 		fields = append(fields, zap.Int("asked", c.outgoing.Asked()), zap.Int("sent", c.outgoing.Sent()))
 	}
