Placement by measured run times

Cause: the choice counted occupied over published slots. Speeds were learned by each daemon from its own runs, for each route anew; upstreams of other zones were used as soon as the own zone had no free slot, at half an average latency.

Change: replies carry the average run time of the requested kind, over the runs of all daemons. A dispatcher keeps one relative run time per upstream instead of a map by route. The own zone is used while one of its upstreams has a free slot and can end the run in time: the cheaper of two drawn by work a second, so that upstreams that join get work. Otherwise the lowest cost decides: wait, run time with the cube of the load, and a whole average run for another zone. The reason is counted (placements_total) and logged.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -22,14 +23,17 @@
 	// One in exploreOneIn requests ignores zone and latency, so that the state of other
 	// upstreams is known before they are needed and new ones get work.
 	exploreOneIn = 48
-	// localObjectiveShare is the share of the time left to the objective within which the best
-	// upstream of the own zone must be expected to answer; otherwise those of other zones are
-	// considered too.
+	// localObjectiveShare is the share of the time left to the objective within which a run at the best
+	// upstream of the own zone must be expected to end; otherwise those of other zones are considered too.
 	localObjectiveShare = 0.7
-	// remoteZonePenalty is added to the cost of an upstream of another zone, in units of its
-	// expected latency. When all upstreams are full, another zone does not help, and traffic
-	// between zones is expensive.
-	remoteZonePenalty = 0.5
+	// remoteZonePenalty is what an upstream of another zone costs more, in units of the average latency
+	// of the route. Bytes between zones are expensive.
+	remoteZonePenalty = 1.0
+	// loadExponent is how steeply the cost of an upstream rises with the requests that it runs and queues
+	// over its limit. With a steep rise, queues of equal length form rather than equal waits: what does
+	// not fit is refused by the slow upstreams at once, and the fast ones still answer within the
+	// objective.
+	loadExponent = 3
 	// failurePenalty raises the cost of an upstream with its share of failed runs: the cost is
 	// multiplied by 1 + failurePenalty * share.
 	failurePenalty = 8
@@ -73,6 +77,7 @@
 	states         map[string]*upstreamState      // by ID of the upstream
 	budgets        map[string]*retry.WindowBudget // by name of the service
 	averageLatency map[string]time.Duration       // by name of the route, over all upstreams
+	referenceRun   map[string]time.Duration       // by name of the route: average of the reported run times
 	closed         bool
 	stopBy         time.Time // when requests that are opened from now on must have ended; zero if never
 }
@@ -85,6 +90,7 @@
 		states:         make(map[string]*upstreamState),
 		budgets:        make(map[string]*retry.WindowBudget),
 		averageLatency: make(map[string]time.Duration),
+		referenceRun:   make(map[string]time.Duration),
 	}
 }
 
@@ -178,24 +184,25 @@
 	if len(usable) == 0 {
 		return d.refuse(req, resultcode.NoUpstream, noUpstreamRetryAfter, "none_usable")
 	}
-	s, mayQueue := d.pick(now, req, usable)
+	s, placement := d.pick(now, req, usable)
 	req.asked++
 	req.target, req.incarnation = s.upstream.ID, s.upstream.Incarnation
 	age := s.loadAge(now)
 	s.inFlight++
 	s.attemptsSinceLoad++
-	return Step{Upstream: s.upstream, MayQueue: mayQueue, LoadAge: age, Rate: s.load.Rate}
+	return Step{Upstream: s.upstream, MayQueue: req.mayQueue || req.Suspect != "", LoadAge: age, Rate: s.load.Rate, Placement: placement, RelativeRun: s.relativeRun(now)}
 }
 
-// pick returns the upstream to ask next, and whether it may queue the request. A suspect queues
-// where its copies do, and goes on to the next upstream only if it is refused.
-func (d *Dispatcher) pick(now time.Time, req *OutgoingRequest, usable []*upstreamState) (*upstreamState, bool) {
+// pick returns the upstream to ask next and the reason, and allows it to queue the request if no free
+// slot is expected. A suspect queues where its copies do, and goes on to the next upstream only if it is
+// refused.
+func (d *Dispatcher) pick(now time.Time, req *OutgoingRequest, usable []*upstreamState) (*upstreamState, Placement) {
 	if req.Suspect != "" {
-		return firstInOrder(req.Suspect, usable), true
+		return firstInOrder(req.Suspect, usable), OrderOfSuspects
 	}
-	s, free := d.choose(now, req, usable)
-	req.mayQueue = req.mayQueue || !free
-	return s, req.mayQueue
+	s, placement := d.choose(now, req, usable)
+	req.mayQueue = req.mayQueue || !s.hasFreeSlot(now)
+	return s, placement
 }
 
 // firstInOrder returns the upstream that all daemons ask first for requests with the key.
@@ -229,19 +236,55 @@
 	return step
 }
 
-// choose returns the upstream to ask next, and whether it is expected to have a free slot.
-func (d *Dispatcher) choose(now time.Time, req *OutgoingRequest, usable []*upstreamState) (*upstreamState, bool) {
+// choose returns the upstream to ask next and the reason. The own zone is used while an upstream there
+// has a free slot and can meet the objective; otherwise the costs decide.
+func (d *Dispatcher) choose(now time.Time, req *OutgoingRequest, usable []*upstreamState) (*upstreamState, Placement) {
 	maxFailureShare := lowestFailureShare(now, usable) + maxExcessFailures
 	if req.asked == 0 && d.cfg.Rand.IntN(exploreOneIn) == 0 {
 		if s := usable[d.cfg.Rand.IntN(len(usable))]; s.hasFreeSlot(now) && s.failureShare(now) <= maxFailureShare {
-			return s, true
+			return s, Explored
 		}
 	}
-	if s := d.cheapest(now, req, usable, true); s != nil && s.hasFreeSlot(now) && s.failureShare(now) <= maxFailureShare && d.meetsObjective(now, req, s) {
-		return s, true
+	suits := func(s *upstreamState) bool {
+		return s != nil && s.hasFreeSlot(now) && s.failureShare(now) <= maxFailureShare && d.meetsObjective(now, req, s)
 	}
-	s := d.cheapest(now, req, usable, false)
-	return s, s.hasFreeSlot(now)
+	if s := d.cheaperOfTwo(now, req, usable); suits(s) {
+		return s, OwnZoneFree
+	}
+	local, remote := d.cheapest(now, req, usable, true), d.cheapest(now, req, usable, false)
+	switch {
+	case suits(local):
+		return local, OwnZoneFree
+	case local == nil:
+		return remote, OwnZoneEmpty
+	case remote == nil || d.cost(now, req, local) <= d.cost(now, req, remote):
+		return local, OwnZoneCheaper
+	}
+	return remote, OtherZoneCheaper
+}
+
+// cheaperOfTwo returns the cheaper of two upstreams of the own zone, nil if there is none. They are drawn
+// at random, weighed by the work that they do a second, so that daemons that see the same load don't all
+// choose the same upstream.
+func (d *Dispatcher) cheaperOfTwo(now time.Time, req *OutgoingRequest, usable []*upstreamState) *upstreamState {
+	var drawn [2]*upstreamState
+	total := 0.0
+	for _, s := range usable {
+		if s.upstream.Zone != d.cfg.Zone {
+			continue
+		}
+		weight := float64(s.limit(now)) / s.relativeRun(now)
+		total += weight
+		for i := range drawn {
+			if d.cfg.Rand.Float64()*total < weight {
+				drawn[i] = s
+			}
+		}
+	}
+	if drawn[0] != drawn[1] && d.cost(now, req, drawn[1]) < d.cost(now, req, drawn[0]) {
+		return drawn[1]
+	}
+	return drawn[0]
 }
 
 func lowestFailureShare(now time.Time, usable []*upstreamState) float64 {
@@ -273,29 +316,26 @@
 	return avoided
 }
 
-// meetsObjective reports whether an upstream is expected to answer within localObjectiveShare
-// of the time left to the objective, or has no expected wait and no known latency.
+// meetsObjective reports whether a run at an upstream is expected to take at most localObjectiveShare
+// of the time left to the objective, or its time is unknown.
 func (d *Dispatcher) meetsObjective(now time.Time, req *OutgoingRequest, s *upstreamState) bool {
-	expectedLatency := s.expectedWait(now) + d.expectedLatency(req, s)
-	return expectedLatency == 0 || float64(expectedLatency) <= localObjectiveShare*float64(req.Objective.Sub(now))
+	latency := d.expectedLatency(now, req, s)
+	return latency == 0 || float64(latency) <= localObjectiveShare*float64(req.Objective.Sub(now))
 }
 
-// expectedLatency returns the average latency of the request's route at an upstream, or at all
-// upstreams if that one has no latency recorded; 0 if none has.
-func (d *Dispatcher) expectedLatency(req *OutgoingRequest, s *upstreamState) time.Duration {
-	if latency, known := s.latencyByRoute[req.Route.Name]; known {
-		return latency
-	}
-	return d.averageLatency[req.Route.Name]
+// expectedLatency returns the expected latency of the request's route at an upstream, 0 if no latency of
+// the route is known.
+func (d *Dispatcher) expectedLatency(now time.Time, req *OutgoingRequest, s *upstreamState) time.Duration {
+	return time.Duration(float64(d.averageLatency[req.Route.Name]) * s.relativeRun(now))
 }
 
-// cheapest returns the upstream with the lowest cost, of the own zone only if localOnly is
-// set. It chooses at random between equal ones.
-func (d *Dispatcher) cheapest(now time.Time, req *OutgoingRequest, usable []*upstreamState, localOnly bool) *upstreamState {
+// cheapest returns the upstream of the own zone or of the other zones with the lowest cost, nil if there
+// is none. It chooses at random between equal ones.
+func (d *Dispatcher) cheapest(now time.Time, req *OutgoingRequest, usable []*upstreamState, local bool) *upstreamState {
 	var cheapest *upstreamState
 	lowest, ties := 0.0, 0
 	for _, s := range usable {
-		if localOnly && s.upstream.Zone != d.cfg.Zone {
+		if local != (s.upstream.Zone == d.cfg.Zone) {
 			continue
 		}
 		cost := d.cost(now, req, s)
@@ -315,11 +355,11 @@
 // cost returns the cost of an upstream: the expected time to the answer, raised for its load,
 // for being in another zone, and for its share of failed runs.
 func (d *Dispatcher) cost(now time.Time, req *OutgoingRequest, s *upstreamState) float64 {
-	expectedLatency := max(d.expectedLatency(req, s), time.Millisecond)
+	average := float64(max(d.averageLatency[req.Route.Name], time.Millisecond))
 	load := float64(s.occupied(now)) / float64(s.limit(now))
-	cost := float64(s.expectedWait(now)) + float64(expectedLatency)*(1+load)
+	cost := float64(s.expectedWait(now)) + average*s.relativeRun(now)*(1+math.Pow(load, loadExponent))
 	if s.upstream.Zone != d.cfg.Zone {
-		cost += remoteZonePenalty * float64(expectedLatency)
+		cost += remoteZonePenalty * average
 	}
 	return cost * (1 + failurePenalty*s.failureShare(now))
 }
@@ -385,6 +425,7 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	if report.HasLoad {
 		s.recordLoad(now, report.Load)
+		d.recordReportedRun(now, req.Route.Name, s)
 	}
 	switch report.Result {
 	case NoReply, WrongUpstream:
@@ -394,7 +435,7 @@
 	case Answered:
 		s.recordReply()
 		s.recordResult(now, false)
-		d.updateLatency(req, s, report.Elapsed)
+		d.updateLatency(now, req.Route.Name, s, report.Elapsed)
 	case Failed, Rejected:
 		s.recordReply()
 		s.recordResult(now, true)
@@ -414,13 +455,35 @@
 	return s
 }
 
-func (d *Dispatcher) updateLatency(req *OutgoingRequest, s *upstreamState, latency time.Duration) {
-	s.recordLatency(req.Route.Name, latency)
-	average, known := d.averageLatency[req.Route.Name]
+// updateLatency records the time of a run. It tells the speed of the upstream if the daemon there
+// does not report run times.
+func (d *Dispatcher) updateLatency(now time.Time, route string, s *upstreamState, latency time.Duration) {
+	average, known := d.averageLatency[route]
 	if !known {
 		average = latency
 	}
-	d.averageLatency[req.Route.Name] = average + time.Duration(latencyWeight*float64(latency-average))
+	average += time.Duration(latencyWeight * float64(latency-average))
+	d.averageLatency[route] = average
+	if s.load.KindRun == 0 && average > 0 {
+		s.recordRun(now, float64(latency)/float64(average), latencyWeight)
+	}
+}
+
+// recordReportedRun records the speed of an upstream from the run time that it last reported for a route.
+func (d *Dispatcher) recordReportedRun(now time.Time, route string, s *upstreamState) {
+	run := s.load.KindRun
+	if run <= 0 {
+		return
+	}
+	reference, known := d.referenceRun[route]
+	if !known {
+		reference = run
+	}
+	reference += time.Duration(referenceWeight * float64(run-reference))
+	d.referenceRun[route] = reference
+	if reference > 0 {
+		s.recordRun(now, float64(run)/float64(reference), reportedRunWeight)
+	}
 }
 
 func (d *Dispatcher) exclude(req *OutgoingRequest) {
--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -10,7 +10,9 @@
 //
 // Upstreams of the own availability zone are preferred while they have free slots and can
 // meet the request's objective, because traffic between zones is expensive. Upstreams report
-// their load with their replies. Between two replies, a daemon adds what it has sent itself.
+// their load and their run times with their replies. Between two replies, a daemon adds what it
+// has sent itself. Run times are compared for each kind of request, so that they tell the speeds
+// of upstreams with equal slots apart.
 //
 // Suspects, of which equal requests ran at a crash of an upstream, are asked for in one order by all
 // daemons, which rendezvous hashing gives, so that copies of a request that crashes upstreams don't
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -67,10 +67,34 @@
 	LoadAge time.Duration
 	// Rate is the limit on starts per second that Upstream last reported, 0 for none.
 	Rate float64
+	// Placement says why Upstream was chosen, and RelativeRun how long it is expected to take for a run,
+	// as a multiple of the average of its service.
+	Placement   Placement
+	RelativeRun float64
 	// AvoidFor is how long the upstream of the previous attempt is avoided, 0 if it is not.
 	AvoidFor time.Duration
 }
 
+// Placement says why an upstream was chosen, for the log and the counters.
+type Placement string
+
+// Reasons of choices.
+const (
+	// Explored: at random, so that its state is known.
+	Explored Placement = "explored"
+	// OwnZoneFree: it is the cheapest of the own zone and has a free slot.
+	OwnZoneFree Placement = "own_zone_free"
+	// OwnZoneCheaper: no upstream of the own zone has a free slot or meets the objective, and those of
+	// other zones cost more.
+	OwnZoneCheaper Placement = "own_zone_cheaper"
+	// OtherZoneCheaper: an upstream of another zone costs less, with the price of the zone.
+	OtherZoneCheaper Placement = "other_zone_cheaper"
+	// OwnZoneEmpty: there is no usable upstream in the own zone.
+	OwnZoneEmpty Placement = "own_zone_empty"
+	// OrderOfSuspects: the request is a suspect, for which all daemons ask in one order.
+	OrderOfSuspects Placement = "order_of_suspects"
+)
+
 // Result is the outcome of one attempt.
 type Result uint8
 
--- a/core/dispatch/upstreamstate.go
+++ b/core/dispatch/upstreamstate.go
@@ -15,6 +15,17 @@
 	defaultRun = 50 * time.Millisecond
 	// latencyWeight is the weight of a new latency in an exponentially weighted average.
 	latencyWeight = 0.15
+	// reportedRunWeight is the weight of a reported average run time, which covers the runs of all
+	// daemons, and referenceWeight the weight of such a report in the average of the service.
+	reportedRunWeight, referenceWeight = 0.5, 0.05
+	// speedHalfLife is the age at which a measured speed counts half, so that an upstream that was slow
+	// for a while is used again.
+	speedHalfLife = 3 * time.Second
+	// unknownRelativeRun is the relative run time that is assumed until one is known. It is low, so
+	// that upstreams that join are tried.
+	unknownRelativeRun = 0.5
+	// minRelativeRun and maxRelativeRun bound one measured run time as a multiple of the average.
+	minRelativeRun, maxRelativeRun = 0.1, 10.0
 	// minAvoidTime and maxAvoidTime bound the time for which an upstream that did not reply
 	// is avoided. It doubles with each further attempt without a reply.
 	minAvoidTime = 250 * time.Millisecond
@@ -47,8 +58,10 @@
 	load              slots.Load
 	loadAt            time.Time
 	attemptsSinceLoad int
-	// latencyByRoute holds the average latency by the name of the route.
-	latencyByRoute map[string]time.Duration
+	// runFactor is the run time as a multiple of the average of the service for the same kind, as of
+	// runFactorAt. It holds for all kinds.
+	runFactor   float64
+	runFactorAt time.Time
 	// unanswered counts consecutive attempts without a reply. The upstream is avoided until
 	// avoidUntil.
 	unanswered int
@@ -129,16 +142,26 @@
 // hasFreeSlot reports whether a further request is expected to start at once.
 func (s *upstreamState) hasFreeSlot(now time.Time) bool { return s.occupied(now) < s.limit(now) }
 
-func (s *upstreamState) recordLatency(routeName string, latency time.Duration) {
-	if s.latencyByRoute == nil {
-		s.latencyByRoute = make(map[string]time.Duration)
-	}
-	average, known := s.latencyByRoute[routeName]
-	if !known {
-		s.latencyByRoute[routeName] = latency
+// recordRun records one run time or a reported average of them, as a multiple of the average of the
+// service for the same kind.
+func (s *upstreamState) recordRun(now time.Time, relativeRun, weight float64) {
+	bounded := min(max(relativeRun, minRelativeRun), maxRelativeRun)
+	if s.runFactorAt.IsZero() {
+		s.runFactor, s.runFactorAt = bounded, now
 		return
 	}
-	s.latencyByRoute[routeName] = average + time.Duration(latencyWeight*float64(latency-average))
+	known := s.relativeRun(now)
+	s.runFactor, s.runFactorAt = known+weight*(bounded-known), now
+}
+
+// relativeRun returns how long the upstream is expected to take for a run, as a multiple of the average
+// of the service; unknownRelativeRun if unknown. At age a, the difference from the average counts 1/(1 + a/speedHalfLife).
+func (s *upstreamState) relativeRun(now time.Time) float64 {
+	if s.runFactorAt.IsZero() {
+		return unknownRelativeRun
+	}
+	age := now.Sub(s.runFactorAt)
+	return 1 + (s.runFactor-1)/(1+float64(age)/float64(speedHalfLife))
 }
 
 // recordResult records whether a run failed.
--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -114,6 +114,10 @@
 	Running, Waiting, Limit int
 	// Run is the average run time, 0 if unknown.
 	Run time.Duration
+	// KindRun is the average run time of the kind for which the load is reported, 0 if unknown. Between
+	// upstreams of a service it tells their speeds apart, which Run does not: Run depends on the mix of
+	// kinds too.
+	KindRun time.Duration
 	// Failing is the recent share of runs that failed or were rejected.
 	Failing float64
 	// Rate is the limit on starts per second, 0 for none.
@@ -440,6 +444,13 @@
 	return Load{Running: len(l.running), Waiting: len(l.queue), Limit: limit, Run: l.run.value, Failing: l.failing, Rate: l.rate.perSecond}
 }
 
+// LoadFor returns the load that is reported with a reply to a request of a kind.
+func (l *Limiter) LoadFor(kind string) Load {
+	load := l.Load()
+	load.KindRun = l.AverageRun(kind)
+	return load
+}
+
 // Release frees the slot of a request that was started but whose slot was not used, without
 // recording an outcome. It returns the decisions about queued requests.
 func (l *Limiter) Release(now time.Time, id uint64) []Event {
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -226,7 +226,7 @@
 	origin := d.callGraph.Classify(a.kind)
 	return Reply{
 		Outcome: outcome, Reason: string(decision.Reason), Wait: decision.Wait,
-		Load: d.limiter.Load(), Call: origin == callgraph.Call, CallUnknown: origin == callgraph.Unknown, Blocked: d.callMeter.Shares(now), State: d.state(),
+		Load: d.limiter.LoadFor(a.kind), Call: origin == callgraph.Call, CallUnknown: origin == callgraph.Unknown, Blocked: d.callMeter.Shares(now), State: d.state(),
 		Leaving: d.dir.StatedLeaving(a.instance), Reports: d.crashes.ReportsOf(a.fingerprint),
 	}
 }
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -18,6 +18,7 @@
 	metricRefusals        = counter("refusals_total", "Final answers of the daemon's own, by result code and deciding input.", "code", "reason")
 	metricAttempts        = counter("attempts_total", "Attempts at upstreams by their result, in the own zone (near) or another (far).", "result", "zone")
 	metricRetryDecisions  = counter("repeats_total", "Decisions after a failed attempt: repeat, or why not.", "reason")
+	metricPlacements      = counter("placements_total", "Attempts by the reason for which their upstream was chosen.", "reason")
 	metricAvoided         = counter("suspicions_total", "Upstreams that are avoided for a time because they gave no reply.")
 	metricSlots           = counter("slot_decisions_total", "Decisions about requests that ask for a slot of the local backend server.", "decision")
 	metricBackend         = counter("backend_connections_total", "Connections to the local backend server by what became of them.", "event")
--- a/mesh/observe.go
+++ b/mesh/observe.go
@@ -24,6 +24,7 @@
 		zone = "near"
 	}
 	d.metrics.Count(metricAttempts, report.Result.String(), zone)
+	d.metrics.Count(metricPlacements, string(c.step.Placement))
 	if report.Result == dispatch.Answered {
 		return
 	}
@@ -40,18 +41,19 @@
 }
 
 // attemptFields returns the log fields of the latest attempt: the upstream, the age of the load
-// report on which its choice was based, the result, and the load that came with the reply.
+// report on which its choice was based, the reason of the choice and the expected speed, the result, and the load that came with the reply.
 func (c *callerRequest) attemptFields() []zap.Field {
 	report := c.lastReport
 	fields := []zap.Field{
 		zap.String("id", c.head.ID), zap.String("route", c.route.Name), zap.String("service", c.outgoing.Service),
 		zap.String("upstream", c.step.Upstream.ID), zap.String("zone", c.step.Upstream.Zone),
 		fingerprintField(c.fingerprint), zap.Duration("load_age", c.step.LoadAge), zap.Bool("may_queue", c.step.MayQueue),
+		zap.String("placement", string(c.step.Placement)), zap.Float64("relative_run", c.step.RelativeRun),
 		zap.Stringer("result", report.Result),
 	}
 	if report.HasLoad {
 		fields = append(fields, zap.Duration("wait", report.Wait), zap.Int("running", report.Load.Running),
-			zap.Int("waiting", report.Load.Waiting), zap.Int("limit", report.Load.Limit))
+			zap.Int("waiting", report.Load.Waiting), zap.Int("limit", report.Load.Limit), zap.Duration("kind_run", report.Load.KindRun))
 	}
 	return fields
 }
