One budget for the memory and the descriptors that callers take

Cause: each connection of a caller could make the daemon hold up to 16 requests, their heads and 128 KB of a body, twice, for up to a minute, and nothing bounded the sum over connections. Nothing read maxFds.

Connections, requests with their heads, and first parts of bodies reserve from it before they are read. At the bound a connection is not read; after a second its request gets 503. While something waits, callers slower than the configuration's header limits demand get 408, and connections that never sent a request are closed; new ones wait in the listener's queue. Both statuses are sent only before a request is handled. The first part of a body is handed to the daemon without a copy, and buffers grow by doubling.

Requests of peers are not in the budget yet.

--- a/core/bodyparts/bodyparts.go
+++ b/core/bodyparts/bodyparts.go
@@ -34,3 +34,13 @@
 	share := min(longest/float64(max(requests, 1)), 1)
 	return int(max(share*share*MaxBytes, minBytes))
 }
+
+// WhileUsed returns the length of a part of the given length while a part of the memory budget for other
+// things than parts is used: from half of the budget on, parts shrink in proportion to what is free.
+func WhileUsed(size int, used, limit int64) int {
+	if limit <= 0 || 2*used <= limit {
+		return size
+	}
+	free := 2 * max(1-float64(used)/float64(limit), 0)
+	return max(int(free*float64(size)), min(size, minBytes))
+}
--- a/internal/acceptloop/acceptloop.go
+++ b/internal/acceptloop/acceptloop.go
@@ -31,6 +31,10 @@
 
 // Loop accepts the connections of one listener.
 type Loop struct {
+	// AwaitRoom is called before each attempt to accept a connection, if it is not nil. Connections wait in the
+	// listener's queue until it returns, which it must do when closing is closed. It must be set before Run.
+	AwaitRoom func(closing <-chan struct{})
+
 	listener net.Listener
 	close    sync.Once
 	closing  chan struct{} // closed when Close has been called
@@ -51,6 +55,9 @@
 	defer close(l.ended)
 	pause := time.Duration(0)
 	for {
+		if l.AwaitRoom != nil {
+			l.AwaitRoom(l.closing)
+		}
 		c, err := l.listener.Accept()
 		if err == nil {
 			pause = 0
--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -84,31 +84,36 @@
 }
 
 // bufferBody replaces a body shorter than BodyBufferSize by a buffer with its bytes. For a longer
-// one it returns the body, the rest of which must still be read from the connection. failed is
-// set when the body could not be read; the start of the next request is then unknown.
-func (c *conn) bufferBody(r *http.Request) (streamed *streamedBody, failed bool) {
+// one it returns the body, the rest of which must still be read from the connection. An error says that
+// the body could not be read; the start of the next request is then unknown.
+func (c *conn) bufferBody(ex *exchange, r *http.Request) (*streamedBody, error) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
-		return nil, false
+		return nil, nil
 	}
 	c.beginReceive()
 	defer c.endReceive()
+	now := time.Now()
+	c.mu.Lock()
+	c.received = progress{begun: now, latest: now}
+	c.mu.Unlock()
 	body := &timeoutBody{conn: c, body: r.Body}
 	if timeout := c.server.Limits().BodyTimeout; timeout > 0 {
-		body.end = time.Now().Add(timeout)
+		body.end = now.Add(timeout)
 	}
-	data, err := io.ReadAll(io.LimitReader(body, BodyBufferSize))
+	data, held, err := c.readFirst(body, r.ContentLength)
+	ex.heldBody = held
 	if err != nil {
 		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(data), errorReader{err}))
 		r.Close = true
-		return nil, true
+		return nil, err
 	}
 	if len(data) < BodyBufferSize {
-		r.Body = io.NopCloser(bytes.NewReader(data))
-		return nil, false
+		r.Body = &wholeBody{data}
+		return nil, nil
 	}
-	streamed = &streamedBody{conn: c.netConn, buffered: data, rest: r.Body, ended: make(chan struct{})}
+	streamed := &streamedBody{conn: c.netConn, buffered: data, rest: r.Body, ended: make(chan struct{})}
 	r.Body = streamed
-	return streamed, false
+	return streamed, nil
 }
 
 type errorReader struct{ err error }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -10,11 +10,13 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
 )
 
@@ -24,8 +26,10 @@
 	netConn       net.Conn
 	ctx           context.Context
 	cancel        context.CancelCauseFunc
-	heads         *headlimit.Reader
-	reader        *bufio.Reader // of heads
+	opened        time.Time
+	growing       *growingHead
+	heads         *headlimit.Reader // of growing
+	reader        *bufio.Reader     // of heads
 	writer        *bufio.Writer
 	exchangeEnded chan struct{} // receives a value when an exchange has ended
 	discarded     int64         // bytes that were read after the last request, for the goroutine that reads
@@ -40,6 +44,11 @@
 	receiveBy       time.Time   // bounds receiveDeadline if the connection is retiring
 	closing         bool        // no further response may be written
 	ended           time.Time   // when the latest exchange ended
+	received        progress    // of the first part of a body; zero while none is read
+	unreadSince     time.Time   // since when the connection is not read because memory is short; zero if it is
+	evicted         bool        // the request that is being received is to be ended
+
+	lastHeld atomic.Int64 // received.held when it was looked at for an eviction
 }
 
 // exchange is a request and its response.
@@ -48,6 +57,8 @@
 	request *http.Request
 	body    *streamedBody // nil if the body was read before the handler is called
 	begun   time.Time
+	// heldHead and heldBody are the bytes that are reserved for the request.
+	heldHead, heldBody int64
 	// previous is closed when all earlier responses have been written, done when this one has.
 	previous, done chan struct{}
 }
@@ -73,7 +84,7 @@
 		}
 	}()
 	for c.awaitCapacity() {
-		r, err := c.readRequest()
+		r, held, err := c.readRequest()
 		if errors.Is(err, errRetiring) {
 			break
 		}
@@ -81,7 +92,7 @@
 			c.reject(err)
 			return
 		}
-		if !c.handle(r) {
+		if !c.handle(r, held) {
 			break
 		}
 	}
@@ -137,11 +148,45 @@
 }
 
 // readRequest reads the header of the next request. The limits are those in force when its first byte
-// arrives, which may be long after the end of the request before.
-func (c *conn) readRequest() (*http.Request, error) {
+// arrives, which may be long after the end of the request before. It returns the bytes of memory that are
+// reserved for the request.
+func (c *conn) readRequest() (r *http.Request, held int64, err error) {
 	if err := c.awaitFirstByte(); err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	if err := c.reserveRequest(); err != nil {
+		return nil, 0, err
+	}
+	c.growing.begin(c.reader.Buffered())
+	r, err = c.parseRequest()
+	if err != nil {
+		c.growing.abort()
+		c.server.Memory.Release(membudget.Requests, requestBytes)
+		return nil, 0, err
+	}
+	return r, requestBytes + c.growing.end(r), nil
+}
+
+// reserveRequest reserves memory for the next request, whose first byte has arrived. A request behind others
+// of its connection waits for their end if there is no room.
+func (c *conn) reserveRequest() error {
+	for c.awaitCapacity() {
+		c.mu.Lock()
+		first := len(c.inFlight) == 0
+		c.mu.Unlock()
+		if first {
+			return c.reserve(membudget.Requests, membudget.First, requestBytes, time.Now().Add(roomTimeout))
+		}
+		if c.server.Memory.TryReserve(membudget.Requests, membudget.Pipelined, requestBytes) {
+			return nil
+		}
+		c.readAhead()
 	}
+	return errRetiring
+}
+
+// parseRequest reads and checks a header.
+func (c *conn) parseRequest() (*http.Request, error) {
 	limits := c.server.Limits()
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	c.heads.Begin(headlimit.Limits{Bytes: limits.HeaderBytes}, buffered)
@@ -152,6 +197,9 @@
 	c.beginReceive()
 	c.setReceiveDeadline(deadline)
 	r, err := http.ReadRequest(c.reader)
+	if c.growing.err != nil {
+		return nil, c.growing.err
+	}
 	if c.heads.Exceeded() {
 		return nil, headlimit.ErrTooLarge // the parser may report the incomplete line as malformed
 	}
@@ -163,6 +211,7 @@
 	}
 	c.heads.End()
 	c.endReceive()
+	c.growing.active = false
 	return r, checkRequest(r)
 }
 
@@ -229,7 +278,7 @@
 func (c *conn) beginReceive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.receiving, c.receiveDeadline, c.receiveBy = true, time.Time{}, time.Time{}
+	c.receiving, c.receiveDeadline, c.receiveBy, c.evicted = true, time.Time{}, time.Time{}, false
 	if c.retiring {
 		c.receiveBy = time.Now().Add(retireTimeout)
 	}
@@ -238,13 +287,16 @@
 func (c *conn) endReceive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.receiving = false
+	c.receiving, c.received = false, progress{}
 }
 
 // setReceiveDeadline sets the read deadline while receiving, zero for none.
 func (c *conn) setReceiveDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.evicted {
+		return
+	}
 	if t.IsZero() || !c.receiveBy.IsZero() && c.receiveBy.Before(t) {
 		t = c.receiveBy
 	}
@@ -312,6 +364,8 @@
 func (c *conn) reject(err error) {
 	status := http.StatusBadRequest
 	switch {
+	case errors.Is(err, errNoRoom):
+		status = http.StatusServiceUnavailable
 	case errors.Is(err, headlimit.ErrTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -327,6 +381,9 @@
 	if ex := c.beginExchange(&http.Request{ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: http.Header{}}); ex != nil {
 		w := newResponse(ex)
 		w.Header().Set("Content-Length", "0")
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", refusalRetryAfter)
+		}
 		w.WriteHeader(status)
 		w.finish()
 		ex.end()
@@ -351,6 +408,8 @@
 }
 
 func (ex *exchange) end() {
+	ex.conn.server.Memory.Release(membudget.Requests, ex.heldHead)
+	ex.conn.server.Memory.Release(membudget.Bodies, ex.heldBody)
 	ex.conn.mu.Lock()
 	ex.conn.inFlight = slices.DeleteFunc(ex.conn.inFlight, func(other *exchange) bool { return other == ex })
 	ex.conn.ended = time.Now()
@@ -393,12 +452,14 @@
 }
 
 // handle reads up to BodyBufferSize bytes of the body and starts the handler. It reports
-// false when no further request may be read.
-func (c *conn) handle(r *http.Request) bool {
+// false when no further request may be read. held is what is reserved for the head.
+func (c *conn) handle(r *http.Request, held int64) bool {
 	ex := c.beginExchange(r)
 	if ex == nil {
+		c.server.Memory.Release(membudget.Requests, held)
 		return false
 	}
+	ex.heldHead = held
 	safe := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
 	if (!safe || hasExpectation(r)) && !ex.awaitPrevious() {
 		ex.end()
@@ -410,7 +471,11 @@
 			return false
 		}
 	}
-	body, failed := c.bufferBody(r)
+	body, err := c.bufferBody(ex, r)
+	if err != nil && ex.refuse(err) {
+		ex.end()
+		return false
+	}
 	ex.body = body
 	ex.request = r.WithContext(c.ctx)
 	finished := make(chan struct{})
@@ -422,7 +487,7 @@
 		ex.run()
 	}()
 	if body == nil {
-		return !r.Close && !failed
+		return !r.Close && err == nil
 	}
 	select {
 	case <-body.ended: // the end of the connection must be noticed while the request is handled
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
 	"github.com/hawthornpoint/hawthornpoint/internal/sockread"
@@ -60,6 +62,8 @@
 	// Unread is called when a connection has ended of which bytes were received that belong to no handled
 	// request, as those of requests behind the last response. It may be nil.
 	Unread func(remote net.Addr, bytes int64)
+	// Memory and Descriptors are reserved from before a connection is accepted or read on. Nil bounds nothing.
+	Memory, Descriptors *membudget.Budget
 	// Panicked is called with the value of a panic while a connection is read or in a handler,
 	// and the connection is closed. If it is nil, the panic goes on.
 	Panicked func(value any)
@@ -69,18 +73,23 @@
 	stopping bool
 	closed   bool
 	handlers sync.WaitGroup
+
+	lastEviction atomic.Int64 // time of the latest search for callers that send too slowly, in ns
 }
 
 // Serve accepts connections until the loop or its listener is closed. acceptFailed is called for the first
 // of a series of failed attempts to accept one.
 func (s *Server) Serve(l *acceptloop.Loop, acceptFailed func(error)) {
+	l.AwaitRoom = s.awaitRoom
 	l.Run(s.startConn, acceptFailed)
 }
 
 func (s *Server) startConn(netConn net.Conn) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	c := &conn{server: s, netConn: netConn, ctx: ctx, cancel: cancel, exchangeEnded: make(chan struct{}, 1)}
-	c.heads = headlimit.NewReader(sockread.NewReader(netConn))
+	c.opened = time.Now()
+	c.growing = &growingHead{source: sockread.NewReader(netConn), conn: c}
+	c.heads = headlimit.NewReader(c.growing)
 	c.reader = bufio.NewReaderSize(c.heads, 4<<10)
 	c.writer = bufio.NewWriterSize(timeoutWriter{netConn}, 4<<10)
 	s.mu.Lock()
@@ -94,6 +103,8 @@
 		s.conns = make(map[*conn]bool)
 	}
 	s.conns[c] = true
+	s.Memory.Force(membudget.Connections, connBytes)
+	s.Descriptors.Force(membudget.Connections, 1)
 	s.handlers.Add(1)
 	go func() {
 		defer s.handlers.Done()
@@ -105,6 +116,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.Memory.Release(membudget.Connections, connBytes)
+	s.Descriptors.Release(membudget.Connections, 1)
 }
 
 // Stop makes each connection close after its next response that no request is waiting behind.
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
 	"github.com/hawthornpoint/hawthornpoint/internal/sockread"
 )
@@ -46,6 +47,9 @@
 // errBackendDown is returned when no connection could be opened. Nothing was sent.
 var errBackendDown = errors.New("the backend server accepts no connection")
 
+// errNoDescriptor is returned when no descriptor is left for a connection. Nothing was sent.
+var errNoDescriptor = errors.New("no descriptor is left for a connection to the backend server")
+
 // backend keeps connections to the local backend server. It is safe for concurrent use.
 type backend struct {
 	address string
@@ -53,6 +57,8 @@
 	count   func(event string) // counts events of connections
 	// panicked is called with the value of a panic while a request is written.
 	panicked func(value any)
+	// descriptors is reserved from before a connection is opened; it may be nil.
+	descriptors *membudget.Budget
 	// connected is called with nil when a connection was opened, otherwise with the error.
 	connected func(err error)
 
@@ -68,6 +74,17 @@
 	expires time.Time
 	// readsLate says that lateReadTimeout holds, for a body that the backend server may read late.
 	readsLate bool
+	// release releases the descriptor; it is called once.
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *backendConn) Close() error {
+	err := c.Conn.Close()
+	if c.release != nil {
+		c.release()
+	}
+	return err
 }
 
 // allowLateReading puts lateReadTimeout in the place of unackedTimeout. The deadline of the request still ends the connection.
@@ -268,9 +285,16 @@
 
 // connect opens a new connection.
 func (b *backend) connect(ctx context.Context) (*backendConn, error) {
+	if !b.descriptors.TryReserve(membudget.Backend, membudget.First, 1) {
+		return nil, errNoDescriptor
+	}
+	release := sync.OnceFunc(func() { b.descriptors.Release(membudget.Backend, 1) })
 	dialCtx, cancel := context.WithTimeout(ctx, backendDialTimeout)
 	defer cancel()
 	raw, err := b.dial(dialCtx, "tcp", b.address)
+	if err != nil {
+		release()
+	}
 	if err != nil && ctx.Err() != nil {
 		return nil, ctx.Err() // says nothing about the backend server
 	}
@@ -280,7 +304,7 @@
 	}
 	b.count("opened")
 	heads := headlimit.NewReader(raw)
-	return &backendConn{Conn: raw, heads: heads, reader: bufio.NewReaderSize(heads, 4<<10), expires: time.Now().Add(defaultIdleTimeout)}, nil
+	return &backendConn{Conn: raw, heads: heads, reader: bufio.NewReaderSize(heads, 4<<10), expires: time.Now().Add(defaultIdleTimeout), release: release}, nil
 }
 
 func (b *backend) takeIdle() *backendConn {
@@ -337,8 +361,8 @@
 // expected number of bytes, -1 if unknown.
 func readPart(r io.Reader, limit int, lengthHint int64) (data []byte, last bool, err error) {
 	size := int64(512)
-	if lengthHint >= 0 && lengthHint < int64(limit) {
-		size = lengthHint + 1
+	if lengthHint >= 0 {
+		size = min(lengthHint+1, int64(limit))
 	}
 	data = make([]byte, 0, size)
 	for {
--- a/mesh/body.go
+++ b/mesh/body.go
@@ -44,7 +44,7 @@
 		}
 	})
 	for {
-		data, last, err := readPart(c.r.Body, maxPartBytes, -1)
+		data, last, err := readPart(c.r.Body, c.daemon.partBytes(0), -1)
 		select {
 		case b.parts <- bodyPart{data, last, err}:
 		case <-b.ended:
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
@@ -20,6 +21,9 @@
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
+// coveredPartBytes is the length of a part of an answer that the reservation for the request covers.
+const coveredPartBytes = 4 << 10
+
 // notServingRetryAfter is the time after which callers of a daemon that is starting or stopping
 // may retry. In about this time the daemon is ready again, or its callers use another one.
 const notServingRetryAfter = 300 * time.Millisecond
@@ -90,9 +94,8 @@
 		if c.r.ContentLength > limit {
 			return resultcode.BodyTooLarge
 		}
-		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
-	if code := c.readBody(); code != 0 {
+	if code := c.readBody(limit); code != 0 {
 		return code
 	}
 	length := ""
@@ -114,10 +117,24 @@
 	return c.tenant.Name
 }
 
-func (c *callerRequest) readBody() resultcode.Code {
+// readBody takes the first part of the body, of which at most limit bytes may follow in all; 0 means no limit.
+func (c *callerRequest) readBody(limit int64) resultcode.Code {
 	if c.r.Body == http.NoBody || c.r.ContentLength == 0 {
 		return 0
 	}
+	if first, ok := c.r.Body.(pipeline.FirstPart); ok {
+		c.body, c.more = first.TakeFirst()
+	}
+	left := limit - int64(len(c.body))
+	if limit > 0 && left < 0 {
+		return resultcode.BodyTooLarge
+	}
+	if limit > 0 {
+		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, left)
+	}
+	if len(c.body) > 0 || c.more {
+		return 0
+	}
 	body, last, err := readPart(c.r.Body, maxPartBytes, c.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -432,6 +449,16 @@
 	return reply, err
 }
 
+// writePart writes a part of an answer. A long one counts in the memory budget until the caller has taken it.
+func (c *callerRequest) writePart(data []byte) error {
+	if n := int64(len(data)); n > coveredPartBytes {
+		c.daemon.memory.Force(membudget.Answers, n)
+		defer c.daemon.memory.Release(membudget.Answers, n)
+	}
+	_, err := c.w.Write(data)
+	return err
+}
+
 // deliver passes the answer on to the caller. If the answer is cut short, the caller's
 // connection is closed, so that the answer can't seem complete.
 func (c *callerRequest) deliver(a *pendingAnswer) {
@@ -450,12 +477,12 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	}
 	c.w.WriteHeader(a.answer.Status)
-	_, err = c.w.Write(a.answer.Body)
+	err = c.writePart(a.answer.Body)
 	a.answer.Body = nil // not held while the caller reads the rest
 	for more := a.answer.More; more && err == nil; {
 		var part MoreReply
 		if part, err = a.more(); err == nil {
-			_, err = c.w.Write(part.Data)
+			err = c.writePart(part.Data)
 			more = !part.Last
 		}
 	}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 	"github.com/hawthornpoint/hawthornpoint/core/fleetclock"
 	"github.com/hawthornpoint/hawthornpoint/core/loadshed"
+	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 	"github.com/hawthornpoint/hawthornpoint/core/quarantine"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
@@ -76,6 +77,8 @@
 	QuotaOvershoot, QuotaSlack float64
 	// MemoryBytes is the memory limit of the process, 0 if unknown.
 	MemoryBytes int64
+	// MaxDescriptors is the descriptor limit of the process, 0 if unknown.
+	MaxDescriptors int64
 }
 
 // Options holds the settings of a daemon and its dependencies.
@@ -106,8 +109,10 @@
 	started    time.Time
 	peerPort   string
 	backend    *backend
-	attempts   atomic.Uint64
-	answers    atomic.Uint64
+	// memory and descriptors are the budgets for what is held because of callers.
+	memory, descriptors *membudget.Budget
+	attempts            atomic.Uint64
+	answers             atomic.Uint64
 	// peerAttempts is the number of attempts of peers that wait, run or have a rest to be fetched.
 	peerAttempts atomic.Int64
 	// peerCalls is the number of calls of peers about attempts whose replies have not been written.
@@ -215,10 +220,11 @@
 		crashes: quarantine.New(quarantine.Config{}), wakeReports: make(chan struct{}, 1),
 	}
 	d.grace, d.seeds = settings.Grace, settings.Seeds
+	d.memory, d.descriptors = membudget.ForMemory(settings.MemoryBytes), membudget.ForDescriptors(settings.MaxDescriptors)
 	d.workers = workgroup.New()
 	d.ctx = d.workers.Context()
 	d.starting, d.stopStarting = context.WithCancel(d.ctx)
-	d.backend = &backend{address: settings.BackendAddress, dial: opts.Dial,
+	d.backend = &backend{address: settings.BackendAddress, dial: opts.Dial, descriptors: d.descriptors,
 		count:     func(event string) { d.metrics.Count(metricBackend, event) },
 		panicked:  func(value any) { d.logPanic(panicBody, "", value) },
 		connected: d.backendConnected}
@@ -242,6 +248,7 @@
 		return err
 	}
 	d.workers.Go(d.tickLoop)
+	d.workers.Go(d.budgetLoop)
 	d.workers.Go(d.futureLoop)
 	d.workers.Go(d.storeLoop)
 	d.workers.Go(d.peerLoop)
@@ -310,6 +317,7 @@
 	d.callerLoop = acceptloop.New(l)
 	d.callers.Handler = http.HandlerFunc(d.serveCaller)
 	d.callers.Limits = d.callerLimits
+	d.callers.Memory, d.callers.Descriptors = d.memory, d.descriptors
 	d.callers.Reject = func(remote net.Addr, status int, err error) {
 		d.metrics.Count(metricUnreadable)
 		d.log.Info(eventNotParsed, zap.Stringer("remote", remote), zap.Int("status", status), errorField(err))
@@ -397,6 +405,7 @@
 // given number of bytes, 0 for any.
 func (d *Daemon) partBytes(accepted int) int {
 	size := bodyparts.Bytes(d.settings.MemoryBytes, d.callerRequests.Load()+d.peerAttempts.Load())
+	size = bodyparts.WhileUsed(size, d.memory.Used(), d.memory.Limit())
 	if accepted > 0 {
 		return min(size, accepted)
 	}
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -44,6 +44,8 @@
 	eventQuarantined        = "request quarantined"
 	eventCleared            = "crash suspect cleared"
 	eventPanic              = "panic"
+	eventBudgetShort        = "budget short"
+	eventBudgetEnough       = "budget no longer short"
 
 	eventNotParsed      = "request not parsed"
 	eventUnread         = "connection ended with unread requests"
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -347,6 +347,8 @@
 	switch {
 	case !sent && errors.Is(err, errBackendDown):
 		outcome, reason = OutcomeBackendDown, "backend_down"
+	case !sent && errors.Is(err, errNoDescriptor):
+		outcome, reason = OutcomeRefused, "no_descriptor"
 	case !sent:
 		outcome, reason = OutcomeUnsent, "time_over"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -357,7 +359,7 @@
 	if sent {
 		d.recordLostRun(a, err)
 	}
-	if outcome == OutcomeUnsent {
+	if outcome == OutcomeUnsent || outcome == OutcomeRefused {
 		d.dropSlot(a)
 	} else {
 		d.releaseSlot(a, slots.Outcome{Failed: true})
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 	"github.com/hawthornpoint/hawthornpoint/internal/telemetry"
 )
 
@@ -49,6 +50,18 @@
 	metricRevision  = gauge("store_revision", "Revision of the store that is in force.")
 	metricSuspects  = gauge("crash_suspects", "Fingerprints of requests for which there is a crash report, a refusal or a clearance.")
 	metricGated     = gauge("gated_services", "Services for which new requests are refused at the entry.")
+
+	metricMemoryLimit      = gauge("memory_budget_bytes", "Memory budget for what is held because of callers; very large without a memory limit.")
+	metricMemoryUsed       = gauge("memory_reserved_bytes", "Reserved bytes of the memory budget.")
+	metricMemoryConns      = gauge("memory_connections_bytes", "Reserved bytes of the memory budget for open connections of callers.")
+	metricMemoryRequests   = gauge("memory_requests_bytes", "Reserved bytes of the memory budget for requests of callers and their heads.")
+	metricMemoryBodies     = gauge("memory_bodies_bytes", "Reserved bytes of the memory budget for first parts of callers' bodies.")
+	metricMemoryAnswers    = gauge("memory_answers_bytes", "Reserved bytes of the memory budget for parts of answers that callers have not taken.")
+	metricMemoryWaiting    = gauge("memory_waiting", "Reservations that wait for room in the memory budget.")
+	metricDescriptorLimit  = gauge("descriptor_budget", "Descriptors for connections of callers and to the local backend server; very large without a limit.")
+	metricDescriptorsUsed  = gauge("descriptors_reserved", "Reserved descriptors of the budget.")
+	metricDescriptorsConns = gauge("descriptors_connections", "Reserved descriptors for connections of callers.")
+	metricDescriptorsBack  = gauge("descriptors_backend", "Reserved descriptors for connections to the local backend server.")
 )
 
 var declared []*telemetry.Metric
@@ -120,6 +133,18 @@
 	d.metrics.Gauge(metricRevision, locked(func() int { return int(d.replica.At().Revision) }))
 	d.metrics.Gauge(metricSuspects, locked(d.crashes.Len))
 	d.metrics.Gauge(metricGated, locked(func() int { return len(d.gate.Levels()) }))
+	for metric, value := range map[*telemetry.Metric]func() int64{
+		metricMemoryLimit: d.memory.Limit, metricMemoryUsed: d.memory.Used, metricMemoryWaiting: d.memory.Waiting,
+		metricMemoryConns:     func() int64 { return d.memory.Held(membudget.Connections) },
+		metricMemoryRequests:  func() int64 { return d.memory.Held(membudget.Requests) },
+		metricMemoryBodies:    func() int64 { return d.memory.Held(membudget.Bodies) },
+		metricMemoryAnswers:   func() int64 { return d.memory.Held(membudget.Answers) },
+		metricDescriptorLimit: d.descriptors.Limit, metricDescriptorsUsed: d.descriptors.Used,
+		metricDescriptorsConns: func() int64 { return d.descriptors.Held(membudget.Connections) },
+		metricDescriptorsBack:  func() int64 { return d.descriptors.Held(membudget.Backend) },
+	} {
+		d.metrics.Gauge(metric, func() float64 { return float64(value()) })
+	}
 	d.metrics.Gauge(metricVersion, func() float64 {
 		if t := d.table(); t != nil {
 			return float64(t.Config().Version)
--- a/mesh/reload.go
+++ b/mesh/reload.go
@@ -24,6 +24,7 @@
 		{"entry_lifetime", d.settings.EntryLifetime.String(), settings.EntryLifetime.String()},
 		{"max_config_age", d.settings.MaxConfigAge.String(), settings.MaxConfigAge.String()},
 		{"quota_window", d.settings.QuotaWindow.String(), settings.QuotaWindow.String()},
+		{"max_descriptors", strconv.FormatInt(d.settings.MaxDescriptors, 10), strconv.FormatInt(settings.MaxDescriptors, 10)},
 		{"memory_bytes", strconv.FormatInt(d.settings.MemoryBytes, 10), strconv.FormatInt(settings.MemoryBytes, 10)},
 	} {
 		if s.current != s.changed {
