A status outside the protocol ends the exchange

Cause: every status below 200 counted as interim, so that the caller and the slot waited until the route's timeout after 000, 099 or +20; 600 to 999 were passed on. Interim answers were bounded by their bytes alone, so that slow ones held the slot until the deadline.

Change: a final status is 200 to 599. Any other, or more than 16 interim answers, ends the exchange: the connection is closed, the run counts as failed at the limiter, and as lost at the dispatcher, which repeats it only if it is idempotent. The product's own interface does the same, and closes the connection to the backend server or peer. A daemon drops such a status of a peer too; that check has no test of its own.

--- a/daemon/message.go
+++ b/daemon/message.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -243,16 +244,23 @@
 	return &idempotency.Answer{Status: a.response.StatusCode, Header: header, Body: a.capturedBody, NotKept: a.captureOverflowed}
 }
 
-// connTrace records whether http.Transport obtained a connection. Without one nothing
+// connTrace records the connection that http.Transport obtained. Without one nothing
 // was sent.
-type connTrace struct{ gotConn atomic.Bool }
+type connTrace struct{ conn atomic.Pointer[net.Conn] }
 
-func (t *connTrace) connected() bool { return t.gotConn.Load() }
+func (t *connTrace) connected() bool { return t.conn.Load() != nil }
+
+// close closes the connection, so that no request follows an answer that is none.
+func (t *connTrace) close() {
+	if conn := t.conn.Load(); conn != nil {
+		_ = (*conn).Close()
+	}
+}
 
 func withConnTrace(ctx context.Context) (context.Context, *connTrace) {
 	t := &connTrace{}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.gotConn.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { t.conn.Store(&info.Conn) },
 	}), t
 }
 
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
+	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
@@ -285,9 +286,10 @@
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(callmeta.HeaderRefused) != "":
 		_ = resp.Body.Close()
 		return nil, resultcode.BackendRefused
-	case resp.StatusCode < http.StatusOK:
-		// net/http cannot pass such an answer on; 101 would end HTTP on the
+	case !finalstatus.Valid(resp.StatusCode):
+		// net/http cannot pass every such answer on; 101 would end HTTP on the
 		// connection.
+		trace.close()
 		_ = resp.Body.Close()
 		return nil, resultcode.AttemptLost
 	}
--- a/harness/faults/invalid_answers_test.go
+++ b/harness/faults/invalid_answers_test.go
@@ -19,6 +19,11 @@
 // invalidAnswers holds answers that a backend server must not give.
 var invalidAnswers = map[string]string{
 	"status below 100":          "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n",
+	"status 000":                "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n",
+	"status with a sign":        "HTTP/1.1 +20 Odd\r\nContent-Length: 0\r\n\r\n",
+	"status of four digits":     "HTTP/1.1 2000 Odd\r\nContent-Length: 0\r\n\r\n",
+	"status 600":                "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n",
+	"status 999":                "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n",
 	"status 101":                "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
 	"not HTTP":                  "\x00\x01garbage\r\n\r\n",
 	"no answer":                 "",
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
 	"github.com/hawthornpoint/hawthornpoint/internal/sockread"
 )
@@ -29,6 +30,9 @@
 	idleTimeoutShare = 0.8
 	// maxSkippedAnswers limits the answers to other requests that are skipped.
 	maxSkippedAnswers = 2
+	// maxInterimAnswers limits the interim (1xx) answers for one request. A faulty backend server may
+	// send them slowly and without end, and holds the slot meanwhile.
+	maxInterimAnswers = 16
 	// maxSkippedBytes limits the body of an answer that is skipped. It is not kept, and the request's
 	// time limit ends it as well; the limit bounds the processor time for an answer without end.
 	maxSkippedBytes = 8 << 20
@@ -98,6 +102,7 @@
 	response  *http.Response
 	request   *http.Request
 	skipped   int        // number of skipped answers to other requests
+	interim   int        // number of interim answers
 	refusal   bool       // the answer says that the request was not run
 	writeDone chan error // receives the result of writing a long body, nil for a short one
 	// cancelClose cancels the closing of the connection at the end of graceCtx. It returns
@@ -153,8 +158,9 @@
 	return nil
 }
 
-// readHeader reads the header of the next answer. It skips interim (1xx) answers. It returns
-// headlimit.ErrTooLarge when the heads of the exchange exceed maxAnswerHeadBytes or maxAnswerHeadLines.
+// readHeader reads the header of the next answer. It skips interim (1xx) answers. A status outside the
+// protocol, or 101, ends the exchange. It returns headlimit.ErrTooLarge when the heads of the exchange
+// exceed maxAnswerHeadBytes or maxAnswerHeadLines, or the interim answers maxInterimAnswers.
 func (ex *exchange) readHeader(req *http.Request) error {
 	defer ex.conn.heads.End()
 	for {
@@ -167,12 +173,16 @@
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
-		if resp.StatusCode >= 200 {
+		switch {
+		case finalstatus.Valid(resp.StatusCode):
 			ex.response = resp
 			return nil
+		case !finalstatus.Interim(resp.StatusCode):
+			ex.backend.count("invalid_status")
+			return errors.Errorf("read answer: invalid status %q", resp.Status)
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return errors.New("answer switches protocols")
+		if ex.interim++; ex.interim > maxInterimAnswers {
+			return errors.Wrapf(headlimit.ErrTooLarge, "read answer: more than %d interim answers", maxInterimAnswers)
 		}
 	}
 }
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -15,6 +15,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
+	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
 	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
@@ -265,6 +266,13 @@
 	if result == 0 {
 		result = c.classify(&reply)
 	}
+	if reply.Answer != nil && !finalstatus.Valid(reply.Answer.Status) {
+		// A peer of another version may pass such a status on.
+		c.daemon.log.Info(eventExchangeFailed, zap.String("id", c.head.ID), zap.String("upstream", step.Upstream.ID),
+			zap.String("reason", "invalid_status"), zap.Int("status", reply.Answer.Status))
+		answer.drop()
+		answer, reply.Answer, result = nil, nil, dispatch.Lost
+	}
 	c.daemon.receiveReports(reply.Reports)
 	c.daemon.noteLeaving(c, &reply)
 	c.daemon.notePeerState(reply.State, c.daemon.peerAddress(step.Upstream.Address))
--- a/mesh/endless_answer_test.go
+++ b/mesh/endless_answer_test.go
@@ -100,3 +100,43 @@
 		So(readAnswer(b), ShouldBeNil)
 	})
 }
+
+// slowBackend returns a backend whose server sends a text once, and then another one at intervals while the
+// connection is open.
+func slowBackend(begin, part string, interval time.Duration) *backend {
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, server) }()
+		go func() {
+			for text := begin; ; text = part {
+				if _, err := io.WriteString(server, text); err != nil {
+					return
+				}
+				time.Sleep(interval)
+			}
+		}()
+		return client, nil
+	}
+	return &backend{dial: dial, count: func(string) {}, connected: func(error) {}}
+}
+
+// Guards against a status outside the protocol, or slow interim answers without end, that hold the slot until the deadline.
+func TestStatusThatEndsTheExchange(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "-20", "1000", "2x0", "101", "600", "999"} {
+		Convey("The exchange ends at once with status "+status, t, func() {
+			begin := time.Now()
+			So(readAnswer(slowBackend("HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n", "", time.Minute)), ShouldNotBeNil)
+			So(time.Since(begin), ShouldBeLessThan, 5*time.Second)
+		})
+	}
+	Convey("The exchange ends after a bounded number of slow interim answers", t, func() {
+		interim := "HTTP/1.1 103 Early Hints\r\n\r\n"
+		begin := time.Now()
+		So(readAnswer(slowBackend(interim, interim, 100*time.Millisecond)), ShouldWrap, headlimit.ErrTooLarge)
+		So(time.Since(begin), ShouldBeLessThan, 5*time.Second)
+	})
+	Convey("An answer after a few interim ones is read", t, func() {
+		interim := strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterimAnswers)
+		So(readAnswer(slowBackend(interim+answerHead+"Content-Length: 0\r\n\r\n", "", time.Minute)), ShouldBeNil)
+	})
+}
