Fair order among tenants at the queue of a server

Cause: queued requests of one rank started by arrival, so that a tenant that sends several times its usual got slots by its number of requests.

Change: start-time fair queueing by tenant within a rank, with equal weights and the average run time of the kind as cost. Requests without tenant together weigh as much as all tenants. At most 1,024 tenants are told apart.

Requests without tenant start in the order of rank and arrival, as before. The gate at the entry is not divided by tenant.

--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -43,6 +43,9 @@
 	Kind string
 	// Rank orders queued requests; lower ranks start first.
 	Rank int
+	// Tenant is the name of the request's tenant, empty for none. Queued requests of one rank share the
+	// slots among tenants by the run time that they ask for.
+	Tenant string
 	// Objective is when the answer should be available, Deadline when the caller gives up.
 	Objective, Deadline time.Time
 	// MayQueue allows the request to be queued: the caller has no better server to ask.
@@ -131,7 +134,8 @@
 	heard   bool // the backend server has answered, and would have stated a rate
 	closed  bool
 	running map[uint64]activeRun // by request ID
-	queue   []waitingRequest     // by rank, then by arrival
+	queue   []waitingRequest     // by rank, then by tag, then by arrival
+	fair    fairOrder
 	// isolatedRuns and isolatedWaiting count the isolated requests that run and that are queued.
 	isolatedRuns, isolatedWaiting int
 	rate                          rateLimit
@@ -166,6 +170,8 @@
 	Request
 	// startBy is the latest useful start, as computed at arrival.
 	startBy time.Time
+	// tag is the place in the fair order, and charge what its flow was charged for it.
+	tag, charge time.Duration
 }
 
 // average is an exponentially weighted average.
@@ -184,7 +190,7 @@
 
 // New returns an open limiter for a backend server with the given number of slots.
 func New(slots int) *Limiter {
-	l := &Limiter{running: make(map[uint64]activeRun), byKind: make(map[string]*average), demand: make(map[int]*demand)}
+	l := &Limiter{running: make(map[uint64]activeRun), byKind: make(map[string]*average), demand: make(map[int]*demand), fair: newFairOrder()}
 	l.SetSlots(slots)
 	return l
 }
@@ -206,6 +212,7 @@
 		events = append(events, Event{ID: w.ID, Decision: Decision{Verdict: Refuse, Reason: Closed}})
 	}
 	l.queue, l.isolatedWaiting = nil, 0
+	l.fair.forgetIdle(0)
 	return events
 }
 
@@ -220,10 +227,16 @@
 		return Decision{Verdict: Refuse, Reason: TooLate}
 	}
 	l.addDemand(now, r.Rank, run)
-	position := l.queuePosition(r.Rank)
+	tag, cost := l.fair.tag(&r), run
+	if cost <= 0 {
+		cost = l.averageRun()
+	}
+	position := l.queuePosition(r.Rank, tag)
 	wait := l.expectedWait(now, position, r)
 	switch {
 	case wait == 0:
+		l.fair.add(&r, tag, cost)
+		l.fair.started(&r, tag)
 		l.start(r)
 		return Decision{Verdict: Start}
 	case !r.MayQueue:
@@ -235,7 +248,7 @@
 	}
 	l.queue = append(l.queue, waitingRequest{})
 	copy(l.queue[position+1:], l.queue[position:])
-	l.queue[position] = waitingRequest{Request: r, startBy: startBy}
+	l.queue[position] = waitingRequest{Request: r, startBy: startBy, tag: tag, charge: l.fair.add(&r, tag, cost)}
 	if r.Isolated {
 		l.isolatedWaiting++
 	}
@@ -281,9 +294,12 @@
 	return objectiveStart
 }
 
-// queuePosition returns the position in the queue of a new request of a rank.
-func (l *Limiter) queuePosition(rank int) int {
-	return sort.Search(len(l.queue), func(i int) bool { return l.queue[i].Rank > rank })
+// queuePosition returns the position in the queue of a new request of a rank with a tag.
+func (l *Limiter) queuePosition(rank int, tag time.Duration) int {
+	return sort.Search(len(l.queue), func(i int) bool {
+		w := &l.queue[i]
+		return w.Rank > rank || w.Rank == rank && w.tag > tag
+	})
 }
 
 func (l *Limiter) addDemand(now time.Time, rank int, run time.Duration) {
@@ -394,7 +410,8 @@
 func (l *Limiter) Cancel(id uint64) {
 	for i := range l.queue {
 		if l.queue[i].ID == id {
-			l.dequeue(i)
+			w := l.dequeue(i)
+			l.fair.remove(&w.Request, w.charge)
 			return
 		}
 	}
@@ -413,11 +430,13 @@
 			if w.Isolated {
 				l.isolatedWaiting--
 			}
+			l.fair.remove(&w.Request, w.charge)
 			continue
 		}
 		remaining = append(remaining, w)
 	}
 	l.queue = remaining
+	l.fair.forgetIdle(len(l.queue))
 	return events
 }
 
@@ -429,9 +448,11 @@
 		}
 		next := l.dequeue(position)
 		if next.Deadline.Sub(now) < l.AverageRun(next.Kind)/2 {
+			l.fair.remove(&next.Request, next.charge)
 			events = append(events, Event{ID: next.ID, Decision: Decision{Verdict: Refuse, Reason: TooLate}})
 			continue
 		}
+		l.fair.started(&next.Request, next.tag)
 		l.start(next.Request)
 		events = append(events, Event{ID: next.ID, Decision: Decision{Verdict: Start}})
 	}
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -113,7 +113,7 @@
 	}
 	d.metrics.Count(metricSlots, string(decision.Reason))
 	d.metrics.Observe(metricQueueTime, elapsed, a.kind, "refused")
-	d.log.Info(eventSlotRefused, zap.String("id", a.requestID), zap.String("kind", a.kind), zap.String("origin", a.origin),
+	d.log.Info(eventSlotRefused, zap.String("id", a.requestID), zap.String("kind", a.kind), zap.String("origin", a.origin), zap.String("tenant", a.tenant),
 		zap.Duration("waited", elapsed), zap.Duration("wait", decision.Wait), zap.String("reason", string(decision.Reason)))
 }
 
@@ -139,7 +139,7 @@
 	d.lastID++
 	a.id = d.lastID
 	decision := d.limiter.Admit(now, slots.Request{
-		ID: a.id, Kind: args.Kind, Rank: args.Rank, MayQueue: args.MayQueue,
+		ID: a.id, Kind: args.Kind, Rank: args.Rank, Tenant: args.Tenant, MayQueue: args.MayQueue,
 		Objective: now.Add(args.UntilObjective), Deadline: now.Add(args.Left),
 		Isolated: verdict == quarantine.Isolate, Fingerprint: args.Fingerprint,
 	})
