Parts of long answers without growing buffers, and counted while they wait

Cause: each further part of an answer was read into a buffer that began with 512 bytes and grew to 128 KB, about five times its length in garbage. Parts that waited behind earlier responses of their connection were not counted in the budget.

Ruled out: too many requests in flight; what was live at the peak was 34 MB of a limit of 67 MB.

Change: a part is read into a buffer of its length when the answer states one, and the parts of a local answer share a buffer. A part counts in the budget from its arrival until the caller has taken it.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -360,11 +360,19 @@
 // readPart reads at most limit bytes and reports whether the end was reached. lengthHint is the
 // expected number of bytes, -1 if unknown.
 func readPart(r io.Reader, limit int, lengthHint int64) (data []byte, last bool, err error) {
+	return readPartInto(nil, r, limit, lengthHint)
+}
+
+// readPartInto is readPart, with the buffer of an earlier part that is no longer used.
+func readPartInto(buffer []byte, r io.Reader, limit int, lengthHint int64) (data []byte, last bool, err error) {
 	size := int64(512)
 	if lengthHint >= 0 {
 		size = min(lengthHint+1, int64(limit))
 	}
-	data = make([]byte, 0, size)
+	data = buffer[:0]
+	if cap(data) < int(size) {
+		data = make([]byte, 0, size)
+	}
 	for {
 		if len(data) == limit {
 			return data, false, nil
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -368,6 +368,7 @@
 // attemptLocal attempts the request at the local backend server.
 func (c *callerRequest) attemptLocal(ask *AskArgs) (Reply, *pendingAnswer) {
 	a := newLocalAttempt(c.r.Context(), nil) // runs as soon as it has a slot
+	a.reuseParts = true                      // deliver writes each part before it fetches the next
 	ask.Payload = c.payload()
 	c.sendRest(a.ctx, a.writeChunk, a.abandon)
 	reply := c.daemon.ask(a, ask)
@@ -449,13 +450,35 @@
 	return reply, err
 }
 
-// writePart writes a part of an answer. A long one counts in the memory budget until the caller has taken it.
-func (c *callerRequest) writePart(data []byte) error {
-	if n := int64(len(data)); n > coveredPartBytes {
-		c.daemon.memory.Force(membudget.Answers, n)
-		defer c.daemon.memory.Release(membudget.Answers, n)
+// holdPart counts a part of an answer in the memory budget, until release is called.
+func (c *callerRequest) holdPart(length int) (release func()) {
+	n := int64(length)
+	if n <= coveredPartBytes {
+		return func() {}
+	}
+	c.daemon.memory.Force(membudget.Answers, n)
+	return func() { c.daemon.memory.Release(membudget.Answers, n) }
+}
+
+// writeParts passes the body of an answer on. Each part counts in the memory budget until the caller has taken
+// it, also while earlier responses of the connection are on their way.
+func (c *callerRequest) writeParts(a *pendingAnswer) error {
+	release := c.holdPart(len(a.answer.Body))
+	defer func() { release() }()
+	c.w.WriteHeader(a.answer.Status)
+	_, err := c.w.Write(a.answer.Body)
+	a.answer.Body = nil // not held while the caller reads the rest
+	for more := a.answer.More; more && err == nil; {
+		release()
+		release = func() {}
+		var part MoreReply
+		if part, err = a.more(); err != nil {
+			break
+		}
+		release = c.holdPart(len(part.Data))
+		_, err = c.w.Write(part.Data)
+		more = !part.Last
 	}
-	_, err := c.w.Write(data)
 	return err
 }
 
@@ -476,17 +499,7 @@
 	if !a.answer.More && c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	}
-	c.w.WriteHeader(a.answer.Status)
-	err = c.writePart(a.answer.Body)
-	a.answer.Body = nil // not held while the caller reads the rest
-	for more := a.answer.More; more && err == nil; {
-		var part MoreReply
-		if part, err = a.more(); err == nil {
-			err = c.writePart(part.Data)
-			more = !part.Last
-		}
-	}
-	if err != nil {
+	if err = c.writeParts(a); err != nil {
 		a.drop()
 		c.daemon.recordOutcome(c, outcomeTruncated)
 		c.daemon.log.Info(eventTruncated, zap.String("id", c.head.ID), errorField(err))
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -57,6 +57,11 @@
 	answerPart int // Payload.AnswerPart of the run
 	// rest is the exchange of a long answer that has not been passed on completely.
 	rest *exchange
+	// left is the number of bytes of rest that have not been read, -1 if it is not known.
+	left int64
+	// reuseParts says that a part is no longer used when the next one is fetched, into partBuffer.
+	reuseParts bool
+	partBuffer []byte
 	// body receives the further parts of a long request once bodyReady is closed.
 	body      *io.PipeWriter
 	bodyReady chan struct{}
@@ -401,7 +406,7 @@
 		ex.abort()
 		a.stopRun()
 	default:
-		a.rest = ex
+		a.rest, a.left = ex, max(ex.response.ContentLength-int64(len(data)), -1)
 	}
 	if head.WrongUpstream {
 		return d.reply(a, OutcomeWrongUpstream, slots.Decision{Reason: "other_instance"})
@@ -451,7 +456,11 @@
 	if a.rest == nil {
 		return MoreReply{}, errors.New("no answer under way")
 	}
-	data, last, err := readPart(a.rest.response.Body, limit, -1)
+	data, last, err := readPartInto(a.partBuffer, a.rest.response.Body, limit, a.left)
+	a.left = max(a.left-int64(len(data)), -1)
+	if a.reuseParts {
+		a.partBuffer = data
+	}
 	if err != nil {
 		a.rest.abort()
 		a.rest = nil
