--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -24,9 +24,6 @@
 	// signal announces. The bounds on the time until a configuration takes effect are about
 	// twice as long.
 	settingsInterval = time.Second
-	// gcPercent lets the heap grow by half between collections. The memory of the VM belongs to its backend
-	// server; the collections cost less than the memory that they save.
-	gcPercent = 50
 	// memoryLimitRatio is the ratio of the Go runtime's soft memory limit to the process's
 	// memory limit. The rest is for the kernel's buffers, which also count against the process's
 	// limit.
@@ -60,7 +57,6 @@
 	if err != nil {
 		return startError(err)
 	}
-	debug.SetGCPercent(gcPercent)
 	if limit := loaded.Mesh.MemoryBytes; limit > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(limit)))
 	}
