Apply the pace of callers to the rest of a long body

Cause: the budget looks for slow callers only before the first request and in the first 128 KiB of a body. The rest is read by the handler, which gives up after 10 s of silence only. A caller that sends it byte by byte keeps its handler, a slot of an upstream and the reservation for its first part until the deadline of the request.

Ruled out: no end at all. The deadline, at most the timeout of the route, ends the request before the change too (504 after 6.1 s in the test).

Change: the rest of a body counts as a body that is being received for as long as the handler waits for the caller. The mean is that of the latest 128 KiB, so that earlier parts earn no time. The rule and its condition (a reservation waits) stay. The handler gets ErrTooSlow; a part of the request may have been sent on, so that mesh closes the connection without a status and logs "request cut".

--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,7 +12,7 @@
 // handled. The handler may leave a goroutine behind that still reads it: reads are serialised,
 // and fail after stop, so that the connection has one reader at any time.
 type streamedBody struct {
-	conn net.Conn
+	owner *conn
 
 	reading  sync.Mutex // held during a read; guards the fields up to err
 	buffered []byte     // bytes that were read before the handler was called
@@ -25,7 +24,8 @@
 	stopped bool
 }
 
-// Read implements io.Reader. It fails when no byte arrives within bodyTimeout, and after stop.
+// Read implements io.Reader. It fails when no byte arrives within bodyTimeout, after stop, and with ErrTooSlow
+// if the caller is slower than the pace while the budget is pressed.
 func (b *streamedBody) Read(p []byte) (int, error) {
 	b.reading.Lock()
 	defer b.reading.Unlock()
@@ -40,7 +40,12 @@
 		b.buffered = b.buffered[n:]
 		return n, nil
 	}
-	n, err := b.rest.Read(p)
+	n, err := 0, ErrTooSlow
+	if b.owner.beginRest() {
+		n, err = b.rest.Read(p)
+		b.owner.endRest(n)
+		err = b.owner.bodyError(err)
+	}
 	if err == io.EOF {
 		close(b.ended)
 	}
@@ -56,7 +61,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.stopped {
-		_ = b.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+		_ = b.owner.netConn.SetReadDeadline(time.Now().Add(bodyTimeout))
 	}
 	return !b.stopped
 }
@@ -66,7 +71,7 @@
 func (b *streamedBody) stop() bool {
 	b.mu.Lock()
 	b.stopped = true
-	_ = b.conn.SetReadDeadline(time.Unix(1, 0))
+	_ = b.owner.netConn.SetReadDeadline(time.Unix(1, 0))
 	b.mu.Unlock()
 	b.reading.Lock()
 	defer b.reading.Unlock()
@@ -111,7 +116,7 @@
 		r.Body = &wholeBody{data}
 		return nil, nil
 	}
-	streamed := &streamedBody{conn: c.netConn, buffered: data, rest: r.Body, ended: make(chan struct{})}
+	streamed := &streamedBody{owner: c, buffered: data, rest: r.Body, ended: make(chan struct{})}
 	r.Body = streamed
 	return streamed, nil
 }
--- a/internal/pipeline/budget.go
+++ b/internal/pipeline/budget.go
@@ -39,8 +39,9 @@
 var (
 	// errNoRoom ends a request that found no room in the memory budget. It was not handled.
 	errNoRoom = errors.New("no room in the memory budget")
-	// errTooSlow ends a request whose caller sends too slowly while the budget is pressed. It was not handled.
-	errTooSlow = errors.New("the caller sends too slowly while memory is short")
+	// ErrTooSlow ends the reading of a body whose caller sends too slowly while the budget is pressed. A handler
+	// gets it for the rest of a long body.
+	ErrTooSlow = errors.New("the caller sends too slowly while memory is short")
 )
 
 // pace returns the least pace of callers while the budget is pressed.
@@ -108,13 +109,46 @@
 	}
 }
 
-// progress is how much of the first part of a body has been received. Times are later than the real ones by
-// the time in which the connection was not read.
+// progress is how much of a body has been received: of its first part or, as the handler reads it, of its rest.
+// Times are later than the real ones by the time in which the connection was not read.
 type progress struct {
 	begun, latest time.Time
 	bytes, held   int64
 }
 
+// beginRest records that the rest of a body is being read. It returns false if its request is to be ended.
+func (c *conn) beginRest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return false
+	}
+	now := time.Now()
+	switch {
+	case c.rest.begun.IsZero():
+		c.rest = progress{begun: now, latest: now, held: BodyBufferSize}
+	case c.rest.bytes >= BodyBufferSize:
+		// The mean is that of the latest part, so that a caller can't earn time with earlier ones.
+		c.rest.begun, c.rest.latest, c.rest.bytes = now, now, 0
+	default:
+		unread := now.Sub(c.restRead)
+		c.rest.begun, c.rest.latest = c.rest.begun.Add(unread), c.rest.latest.Add(unread)
+	}
+	c.received = c.rest
+	return true
+}
+
+// endRest records that n bytes of the rest of a body have been read.
+func (c *conn) endRest(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restRead = time.Now()
+	c.received = progress{}
+	if n > 0 {
+		c.rest.bytes, c.rest.latest = c.rest.bytes+int64(n), c.restRead
+	}
+}
+
 // evict ends the requests, and the connections without any, whose callers are slower than the pace.
 func (s *Server) evict() {
 	now, last := time.Now(), s.lastEviction.Load()
@@ -142,7 +176,7 @@
 }
 
 // isSlow reports whether the connection waits for a caller that is slower than the pace, before its first
-// request or in the first part of a body.
+// request or in a body.
 func (c *conn) isSlow(now time.Time, pace membudget.Pace) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -159,7 +193,7 @@
 	return pace.Missed(now.Sub(c.received.begun), now.Sub(c.received.latest), c.received.bytes)
 }
 
-// evict closes the connection if no request has been received, or ends the request whose body is being read.
+// evict closes the connection if no request has been received, or ends the reading of a body.
 func (c *conn) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -168,7 +202,7 @@
 		_ = c.netConn.SetReadDeadline(time.Now())
 		return
 	}
-	if c.receiving && !c.received.begun.IsZero() {
+	if !c.received.begun.IsZero() {
 		c.evicted = true
 		c.receiveDeadline = time.Unix(1, 0)
 		_ = c.netConn.SetReadDeadline(c.receiveDeadline)
@@ -316,7 +350,7 @@
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if n > 0 && !c.countReceived(int64(len(data))) {
-			return data, held, errTooSlow
+			return data, held, ErrTooSlow
 		}
 		if err == io.EOF {
 			return data, held, nil
@@ -341,7 +375,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.evicted && errors.Is(err, os.ErrDeadlineExceeded) {
-		return errTooSlow
+		return ErrTooSlow
 	}
 	return err
 }
@@ -350,7 +384,7 @@
 func (ex *exchange) refuse(err error) bool {
 	status := http.StatusServiceUnavailable
 	switch {
-	case errors.Is(err, errTooSlow):
+	case errors.Is(err, ErrTooSlow):
 		status = http.StatusRequestTimeout
 	case !errors.Is(err, errNoRoom):
 		return false
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -43,9 +43,11 @@
 	receiveBy       time.Time   // bounds receiveDeadline if the connection is retiring
 	closing         bool        // no further response may be written
 	ended           time.Time   // when the latest exchange ended
-	received        progress    // of the first part of a body; zero while none is read
-	unreadSince     time.Time   // since when the connection is not read because memory is short; zero if it is
-	evicted         bool        // the request that is being received is to be ended
+	received        progress    // of the part of a body that is being read; zero while none is
+	rest            progress    // of the rest of a body up to restRead, when the handler's latest read ended
+	restRead        time.Time
+	unreadSince     time.Time // since when the connection is not read because memory is short; zero if it is
+	evicted         bool      // the request that is being received is to be ended
 
 	lastHeld atomic.Int64 // received.held when it was looked at for an eviction
 }
@@ -274,7 +276,7 @@
 func (c *conn) endReceive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.receiving, c.received = false, progress{}
+	c.receiving, c.received, c.rest, c.evicted = false, progress{}, progress{}, false
 }
 
 // setReceiveDeadline sets the read deadline while receiving, zero for none.
--- a/mesh/body.go
+++ b/mesh/body.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
@@ -122,7 +123,7 @@
 }
 
 // refuseBody ends a request whose body can't be read. It returns false if the caller has left
-// or has sent nothing for too long, so that no answer is due.
+// or sends too slowly, so that no answer is due: a part of the request may have been sent on.
 func (c *callerRequest) refuseBody() bool {
 	err := c.bodyErr
 	var tooLarge *http.MaxBytesError
@@ -130,7 +131,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		c.refuse(resultcode.BodyTooLarge, 0, "body_size")
-	case errors.As(err, &failed), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errPanicked):
+	case errors.As(err, &failed), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errPanicked), errors.Is(err, pipeline.ErrTooSlow):
 		return false
 	default:
 		c.refuse(resultcode.BadRequest, 0, "body_code")
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -230,7 +230,7 @@
 		return
 	}
 	event, outcome := eventCallerLeft, outcomeCallerLeft
-	if errors.Is(context.Cause(c.r.Context()), pipeline.ErrClosed) {
+	if errors.Is(context.Cause(c.r.Context()), pipeline.ErrClosed) || errors.Is(c.bodyErr, pipeline.ErrTooSlow) {
 		event, outcome = eventCut, outcomeCut
 	}
 	d.recordOutcome(c, outcome)
