Add a setting for the pace of bodies

Cause: the pace that bodies must keep while memory or descriptors are short follows from the limits of the configuration alone. An operator who meets clients outside the limits can't make it stricter, nor allow slower callers, without a change of the limits for headers.

Without it the pace stays maxHeaderBytes in headerTimeoutS, which every client inside the limits keeps.

The settings file of "hawthornpoint daemon" (package settings) has a pace of its own, limits.read_timeout_ms, and is unchanged.

--- a/internal/pipeline/budget.go
+++ b/internal/pipeline/budget.go
@@ -46,7 +46,11 @@
 
 // pace returns the least pace of callers while the budget is pressed.
 func (l Limits) pace() membudget.Pace {
-	return membudget.Pace{Bytes: l.HeaderBytes, Time: l.HeaderTimeout}
+	pace := membudget.Pace{Bytes: l.HeaderBytes, Time: l.HeaderTimeout}
+	if l.BodyPace > 0 {
+		pace.Bytes = max(int64(float64(l.BodyPace)*l.HeaderTimeout.Seconds()), 1)
+	}
+	return pace
 }
 
 // awaitRoom waits until a connection may be accepted, or closing is closed. Connections that have never sent
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -46,6 +46,9 @@
 	// BodyTimeout bounds the time in which the first BodyBufferSize bytes of a body, or all of a
 	// shorter one, are received.
 	BodyTimeout time.Duration
+	// BodyPace is the least number of bytes per second at which bodies are sent while a budget is pressed;
+	// 0 means HeaderBytes within HeaderTimeout. Without HeaderTimeout there is no least pace.
+	BodyPace int64
 }
 
 // Server serves HTTP/1.1 connections. All fields must be set before Serve is called.
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -81,6 +81,9 @@
 	MemoryBytes int64
 	// MaxDescriptors is the descriptor limit of the process, 0 if unknown.
 	MaxDescriptors int64
+	// BodyPace is the least number of bytes per second at which callers send bodies while memory or descriptors
+	// are short; 0 means the longest header in the time for it, from the configuration.
+	BodyPace int64
 }
 
 // Options holds the settings of a daemon and its dependencies.
@@ -115,6 +118,8 @@
 	memory, descriptors *membudget.Budget
 	attempts            atomic.Uint64
 	answers             atomic.Uint64
+	// bodyPace is Settings.BodyPace in force.
+	bodyPace atomic.Int64
 	// peerAttempts is the number of attempts of peers that wait, run or have a rest to be fetched.
 	peerAttempts atomic.Int64
 	// peerCalls is the number of calls of peers about attempts whose replies have not been written.
@@ -229,6 +234,7 @@
 		crashes: quarantine.New(quarantine.Config{}), wakeReports: make(chan struct{}, 1),
 	}
 	d.grace, d.seeds = settings.Grace, settings.Seeds
+	d.bodyPace.Store(settings.BodyPace)
 	d.memory, d.descriptors = membudget.ForMemory(settings.MemoryBytes), membudget.ForDescriptors(settings.MaxDescriptors)
 	d.workers = workgroup.New()
 	d.ctx = d.workers.Context()
@@ -349,7 +355,7 @@
 
 // callerLimits returns the limits for requests of callers that are in force.
 func (d *Daemon) callerLimits() pipeline.Limits {
-	limits := pipeline.Limits{HeaderBytes: maxHeaderBytes, BodyTimeout: bodyStartTimeout}
+	limits := pipeline.Limits{HeaderBytes: maxHeaderBytes, BodyTimeout: bodyStartTimeout, BodyPace: d.bodyPace.Load()}
 	if t := d.table(); t != nil {
 		l := t.Config().Limits
 		limits.HeaderTimeout, limits.IdleTimeout = l.HeaderTimeout, l.IdleTimeout
