Reserve memory for the requests of other daemons

Cause: each daemon bounds what it accepts from its callers, but a daemon that runs requests for others reserves nothing for them. Many daemons may send first parts of bodies to one, which has no bound for their sum.

Ruled out: to let them wait for room. The asker can go elsewhere, and would not know that it waits.

Change: when the message of a peer has been read, and before the next one of its connection is, the request reserves 32 KiB, what its head and first part take beyond 8 KiB, and one more part if a rest follows. The priority has 0.9 of the budget, above bodies of callers and below their small requests. Without room the payload is dropped and the reply is a refusal, which has not run, with reason no_memory; the grant of a slot is withdrawn. New gauge memory_peers_bytes; "budget short" has peers.

--- a/core/membudget/membudget.go
+++ b/core/membudget/membudget.go
@@ -7,7 +7,8 @@
 // sender is slowed down by TCP.
 //
 // Load that it answers: callers outside the limits of the deployment, which send many bodies without their
-// end, many requests on one connection, or nothing on many connections.
+// end, many requests on one connection, or nothing on many connections; and many daemons that send what
+// they have accepted to one.
 package membudget
 
 import (
@@ -27,6 +28,7 @@
 	Bodies                    // first parts of bodies that are longer than a small one
 	Answers                   // parts of answers that callers have not taken
 	Backend                   // connections to the local backend server
+	Peers                     // requests that other daemons have accepted and send here
 	holders
 )
 
@@ -36,6 +38,7 @@
 // The priorities, the most important first.
 const (
 	First         Priority = iota // the only request of its connection, with a small head and body
+	Accepted                      // a request that another daemon has accepted
 	Large                         // the rest of a longer head or body
 	Pipelined                     // a request behind others of its connection
 	NewConnection                 // a connection that has not been accepted
@@ -44,7 +47,8 @@
 
 // shares holds the share of the budget up to which a reservation of each priority may raise the sum. Bodies
 // and pipelined requests leave room for new connections, and these for a request on each that is accepted.
-var shares = [priorities]float64{First: 1, Large: 0.6, Pipelined: 0.5, NewConnection: 0.8}
+// Requests of other daemons leave room for small requests of this one's callers.
+var shares = [priorities]float64{First: 1, Accepted: 0.9, Large: 0.6, Pipelined: 0.5, NewConnection: 0.8}
 
 // Budget is a bound for the sum of all reservations. It is safe for concurrent use. A nil Budget grants
 // everything and counts nothing.
--- a/core/membudget/membudget_test.go
+++ b/core/membudget/membudget_test.go
@@ -25,11 +25,13 @@
 		So(b.TryReserve(Requests, Pipelined, 1), ShouldBeFalse)
 		So(b.TryReserve(Bodies, Large, 10), ShouldBeTrue)
 		So(b.TryReserve(Bodies, Large, 1), ShouldBeFalse)
+		So(b.HasRoom(Accepted, 30), ShouldBeTrue)
+		So(b.HasRoom(Accepted, 31), ShouldBeFalse)
 		So(b.HasRoom(NewConnection, 20), ShouldBeTrue)
 		So(b.HasRoom(NewConnection, 21), ShouldBeFalse)
 		So(b.TryReserve(Requests, First, 40), ShouldBeTrue)
 		So(b.TryReserve(Requests, First, 1), ShouldBeFalse)
-		So([]int64{b.Used(), b.Held(Requests), b.Held(Bodies), b.Refused()}, ShouldResemble, []int64{100, 90, 10, 4})
+		So([]int64{b.Used(), b.Held(Requests), b.Held(Bodies), b.Refused()}, ShouldResemble, []int64{100, 90, 10, 5})
 	})
 	Convey("A nil budget and one without a limit grant everything", t, func() {
 		var none *Budget
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -53,6 +53,7 @@
 		log.Warn(eventBudgetShort, zap.String("budget", w.name), zap.Int64("limit", w.budget.Limit()), zap.Int64("reserved", w.budget.Used()),
 			zap.Int64("connections", w.budget.Held(membudget.Connections)), zap.Int64("requests", w.budget.Held(membudget.Requests)),
 			zap.Int64("bodies", w.budget.Held(membudget.Bodies)), zap.Int64("backend", w.budget.Held(membudget.Backend)),
+			zap.Int64("peers", w.budget.Held(membudget.Peers)),
 			zap.Int64("waiting", w.budget.Waiting()))
 	case !w.begun.IsZero() && now.Sub(w.latest) >= budgetQuiet:
 		log.Warn(eventBudgetEnough, zap.String("budget", w.name), zap.Duration("lasted", w.latest.Sub(w.begun)),
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -55,6 +55,8 @@
 	// onExpiry is called when a granted slot has not been used in time.
 	onExpiry   func()
 	answerPart int // Payload.AnswerPart of the run
+	// held is what is reserved in the memory budget for an attempt of a peer. PeerConn.mu guards it.
+	held int64
 	// rest is the exchange of a long answer that has not been passed on completely.
 	rest *exchange
 	// left is the number of bytes of rest that have not been read, -1 if it is not known.
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -62,6 +62,8 @@
 	// Payload is the request itself, which is run as soon as it has a slot. If it is nil, only
 	// the grant of a slot is requested.
 	Payload *Payload
+
+	room peerRoom // at the receiver
 }
 
 // RunArgs sends a request for which a slot was granted.
@@ -69,6 +71,8 @@
 	ID      uint64
 	Left    time.Duration
 	Payload Payload
+
+	room peerRoom // at the receiver
 }
 
 // ChunkArgs carries a further part of a request's body.
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -63,6 +63,7 @@
 	metricMemoryRequests   = gauge("memory_requests_bytes", "Reserved bytes of the memory budget for requests of callers and their heads.")
 	metricMemoryBodies     = gauge("memory_bodies_bytes", "Reserved bytes of the memory budget for first parts of callers' bodies.")
 	metricMemoryAnswers    = gauge("memory_answers_bytes", "Reserved bytes of the memory budget for parts of answers that callers have not taken.")
+	metricMemoryPeers      = gauge("memory_peers_bytes", "Reserved bytes of the memory budget for requests that other daemons have accepted and send here.")
 	metricMemoryWaiting    = gauge("memory_waiting", "Reservations that wait for room in the memory budget.")
 	metricDescriptorLimit  = gauge("descriptor_budget", "Descriptors for connections of callers and to the local backend server; very large without a limit.")
 	metricDescriptorsUsed  = gauge("descriptors_reserved", "Reserved descriptors of the budget.")
@@ -146,6 +147,7 @@
 		metricMemoryRequests:  func() int64 { return d.memory.Held(membudget.Requests) },
 		metricMemoryBodies:    func() int64 { return d.memory.Held(membudget.Bodies) },
 		metricMemoryAnswers:   func() int64 { return d.memory.Held(membudget.Answers) },
+		metricMemoryPeers:     func() int64 { return d.memory.Held(membudget.Peers) },
 		metricDescriptorLimit: d.descriptors.Limit, metricDescriptorsUsed: d.descriptors.Used,
 		metricDescriptorsConns: func() int64 { return d.descriptors.Held(membudget.Connections) },
 		metricDescriptorsBack:  func() int64 { return d.descriptors.Held(membudget.Backend) },
--- a/mesh/peercodec.go
+++ b/mesh/peercodec.go
@@ -71,8 +71,14 @@
 	return nil
 }
 
-// ReadRequestBody implements rpc.ServerCodec.
-func (c *peerCodec) ReadRequestBody(body any) error { return c.dec.Decode(body) }
+// ReadRequestBody implements rpc.ServerCodec. net/rpc calls the method for each body that is read.
+func (c *peerCodec) ReadRequestBody(body any) error {
+	if err := c.dec.Decode(body); err != nil {
+		return err
+	}
+	c.daemon.reserveForPeer(body)
+	return nil
+}
 
 // WriteResponse implements rpc.ServerCodec.
 func (c *peerCodec) WriteResponse(r *rpc.Response, body any) error {
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 	"github.com/hawthornpoint/hawthornpoint/internal/acceptloop"
 )
 
@@ -100,7 +101,12 @@
 	c.mu.Lock()
 	a := c.attempts[id]
 	delete(c.attempts, id)
+	held := int64(0)
+	if a != nil {
+		held, a.held = a.held, 0
+	}
 	c.mu.Unlock()
+	c.daemon.memory.Release(membudget.Peers, held)
 	if a != nil {
 		c.daemon.peerAttempts.Add(-1)
 		a.abandon()
@@ -120,7 +126,13 @@
 // Ask serves a request for a slot.
 func (c *PeerConn) Ask(args *AskArgs, reply *Reply) (err error) {
 	defer c.recoverCall(args.ID, &err)
+	if args.room.refused {
+		*reply = c.daemon.refuseForMemory(&localAttempt{requestID: args.RequestID, instance: args.Instance, kind: args.Kind,
+			origin: args.CallerService, fingerprint: args.Fingerprint})
+		return nil
+	}
 	a, ok := c.addAttempt(args.ID)
+	c.hold(args.ID, a, args.room)
 	if !ok {
 		return errors.Errorf("attempt %d exists", args.ID)
 	}
@@ -135,10 +147,17 @@
 func (c *PeerConn) Run(args *RunArgs, reply *Reply) (err error) {
 	defer c.recoverCall(args.ID, &err)
 	a := c.findAttempt(args.ID)
+	c.hold(args.ID, a, args.room)
 	if a == nil || !a.claim() {
 		*reply = Reply{Outcome: OutcomeUnsent, Reason: "grant_expired"}
 		return nil
 	}
+	if args.room.refused {
+		c.daemon.withdrawGrant(a, string(noMemory))
+		c.removeAttempt(args.ID)
+		*reply = c.daemon.refuseForMemory(a)
+		return nil
+	}
 	*reply = c.daemon.run(a, &args.Payload, args.Left)
 	if reply.Answer == nil || !reply.Answer.More {
 		c.removeAttempt(args.ID)
