Test a crowd with Expect: 100-continue that sends no bodies

Such a client is told to send its body by the daemon itself and may then stay silent; each holds a connection and a request.

--- a/harness/e2e/crowd_test.go
+++ b/harness/e2e/crowd_test.go
@@ -235,6 +235,13 @@
 	}}
 }
 
+// expectingBody sends a head that announces a body, and never sends the body.
+func expectingBody(framing string) crowdMember {
+	return crowdMember{reads: true, send: func(w io.Writer, id string) {
+		_, _ = io.WriteString(w, head("POST", "/safe/body", id, framing, "Expect: 100-continue"))
+	}}
+}
+
 func silent() crowdMember { return crowdMember{reads: true, send: func(io.Writer, string) {}} }
 
 // Chunk extensions and trailers without end, as a line and as many short ones.
@@ -275,6 +282,12 @@
 	newCrowdTarget(t).endure(t, crowdSilent, silent())
 }
 
+// Guards against clients that are told to send a body, never do, and take the memory or the descriptors of the daemon.
+func TestCrowdExpectContinueWithoutBody(t *testing.T) {
+	newCrowdTarget(t).endure(t, crowdClients, expectingBody("Content-Length: 1048576"), expectingBody("Transfer-Encoding: chunked"),
+		expectingBody("Content-Length: 100"))
+}
+
 // Guards against answers that are not read and take the memory of the daemon.
 func TestCrowdUnreadAnswers(t *testing.T) {
 	newCrowdTarget(t).endure(t, crowdClients, unreadAnswers())
