Run granted requests that need no further room when memory is short

Cause: a granted request whose head and body are covered by the reservation of its grant asked the budget for zero bytes, and was refused while callers had more than 0.9 of it.

Change: zero bytes are always granted.

--- a/mesh/peerroom.go
+++ b/mesh/peerroom.go
@@ -37,8 +37,8 @@
 	refused bool
 }
 
-// reserveForPeer reserves for a request, and lets go of its payload if there is no room. It is called for one message of a
-// connection after the other, so that each connection has one payload at most for which nothing is reserved.
+// reserveForPeer reserves for a request, and drops its payload if there is no room. It is called for one
+// message of a connection after the other, so that each has one payload at most for which nothing is reserved.
 func (d *Daemon) reserveForPeer(body any) {
 	switch args := body.(type) {
 	case *AskArgs:
@@ -55,13 +55,14 @@
 }
 
 func (d *Daemon) newPeerRoom(n int64) peerRoom {
-	if d.memory.TryReserve(membudget.Peers, membudget.Accepted, n) {
+	if n == 0 || d.memory.TryReserve(membudget.Peers, membudget.Accepted, n) {
 		return peerRoom{held: n}
 	}
 	return peerRoom{refused: true}
 }
 
-// hold passes a reservation to an attempt, which releases it when it is removed. It releases it at once if that has happened.
+// hold passes a reservation to an attempt, which keeps it until it is removed. Without the attempt it is
+// released at once.
 func (c *PeerConn) hold(id uint64, a *localAttempt, room peerRoom) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/mesh/peerroom_test.go
+++ b/mesh/peerroom_test.go
@@ -84,28 +84,27 @@
 			}
 		}
 		refused := 0
-		for quiet := false; !quiet; {
+		for end := time.Now().Add(10 * time.Second); int(d.peerAttempts.Load())+refused < peers*each && time.Now().Before(end); {
 			select {
 			case call := <-replies:
 				So(call.Error, ShouldBeNil)
 				So(call.Reply.(*Reply).Outcome, ShouldEqual, OutcomeRefused)
 				So(call.Reply.(*Reply).Reason, ShouldEqual, "no_memory")
 				refused++
-			case <-time.After(500 * time.Millisecond):
-				quiet = true
+			case <-time.After(10 * time.Millisecond):
 			}
 		}
 		So(d.memory.Held(membudget.Peers), ShouldBeBetween, 0, d.memory.Limit()*9/10+1)
 		accepted := int64(peers*each - refused)
 		So(accepted, ShouldBeBetween, 0, peers*each)
+		d.mu.Lock()
+		d.limiter.SetSlots(100)
+		d.deliverDecisions(d.limiter.Tick(time.Now())) // so that none starts because the grant ends
+		d.mu.Unlock()
+		for end := time.Now().Add(5 * time.Second); backend.received.Load() < accepted && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
 		Convey("a granted request for which there is no room is refused, has not run, and leaves no slot behind", func() {
-			d.mu.Lock()
-			d.limiter.SetSlots(100)
-			d.deliverDecisions(d.limiter.Tick(time.Now())) // so that none starts because the grant ends
-			d.mu.Unlock()
-			for end := time.Now().Add(5 * time.Second); backend.received.Load() < accepted && time.Now().Before(end); {
-				time.Sleep(10 * time.Millisecond)
-			}
 			var reply Reply
 			So(clients[0].Call("Peer.Ask", &AskArgs{ID: 100, Left: time.Second, UntilObjective: time.Second}, &reply), ShouldBeNil)
 			So(reply.Outcome, ShouldEqual, OutcomeGranted)
@@ -116,6 +115,16 @@
 			So(backend.received.Load(), ShouldEqual, accepted)
 			close(backend.release)
 		})
+		Convey("a granted request that needs no further room is answered while there is none", func() {
+			var reply Reply
+			So(clients[0].Call("Peer.Ask", &AskArgs{ID: 100, Left: time.Second, UntilObjective: time.Second}, &reply), ShouldBeNil)
+			So(reply.Outcome, ShouldEqual, OutcomeGranted)
+			close(backend.release)
+			d.memory.Force(membudget.Answers, d.memory.Limit())
+			reply = Reply{}
+			So(clients[0].Call("Peer.Run", &RunArgs{ID: 100, Left: time.Second, Payload: *askWithBody(0, 10).Payload}, &reply), ShouldBeNil)
+			So(reply.Outcome, ShouldEqual, OutcomeAnswered)
+		})
 		Convey("the others are answered, and so is an ordinary request afterwards", func() {
 			close(backend.release)
 			for range accepted {
