--- a/internal/pipeline/fuzz_test.go
+++ b/internal/pipeline/fuzz_test.go
@@ -20,8 +20,7 @@
 	f.Add([]byte("GET /a HTTP/1.1\nHost: h\n X: folded\n\n"))
 	f.Add([]byte("\x00\xff\xff GET"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		panicked := make(chan any, 16)
-		s := &Server{
+		playInput(t, &Server{
 			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				body, err := io.ReadAll(r.Body)
 				if err == nil && r.ContentLength >= 0 && int64(len(body)) != r.ContentLength {
@@ -29,32 +28,36 @@
 				}
 				_, _ = w.Write([]byte(r.RequestURI))
 			}),
-			Limits: func() Limits {
-				return Limits{HeaderBytes: 1 << 10, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond, BodyTimeout: 100 * time.Millisecond}
-			},
-			Reject:   func(net.Addr, int, error) {},
-			Panicked: func(v any) { panicked <- v },
-		}
-		server, client := net.Pipe()
-		s.startConn(server)
-		go func() { _, _ = io.Copy(io.Discard, client) }()
-		_ = client.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
-		_, _ = io.Copy(client, bytes.NewReader(data))
-		_ = client.Close()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			s.handlers.Wait()
-		}()
-		select {
-		case <-done:
-		case <-time.After(10 * time.Second):
-			t.Fatal("the connection is not ended")
-		}
-		select {
-		case v := <-panicked:
-			t.Fatalf("panic: %v", v)
-		default:
-		}
+		}, bytes.NewReader(data))
 	})
 }
+
+// playInput sends the input to a server on one connection, and checks that the connection ends without a panic.
+func playInput(t *testing.T, s *Server, input io.Reader) {
+	panicked := make(chan any, 16)
+	s.Limits = func() Limits {
+		return Limits{HeaderBytes: 1 << 10, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond, BodyTimeout: 100 * time.Millisecond}
+	}
+	s.Reject, s.Panicked = func(net.Addr, int, error) {}, func(v any) { panicked <- v }
+	server, client := net.Pipe()
+	s.startConn(server)
+	go func() { _, _ = io.Copy(io.Discard, client) }()
+	_ = client.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	_, _ = io.Copy(client, input)
+	_ = client.Close()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.handlers.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection is not ended")
+	}
+	select {
+	case v := <-panicked:
+		t.Fatalf("panic: %v", v)
+	default:
+	}
+}
