--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -20,7 +20,7 @@
 	return buf.Bytes()
 }
 
-// Guards against bytes of a peer that end the process or leave a connection without an end.
+// Guards against bytes of a peer that end the process, or leave a connection without an end or memory reserved.
 func FuzzPeerConnection(f *testing.F) {
 	f.Add(peerMessage("Ask", &AskArgs{ID: 1, Kind: "k", Left: time.Second, Payload: &Payload{Method: "GET", Target: "/x"}}))
 	f.Add(peerMessage("Ask", &AskArgs{ID: 1, Rank: -1 << 60, Left: -1 << 62, UntilObjective: 1 << 62, MayQueue: true}))
@@ -59,5 +59,8 @@
 		case <-time.After(5 * time.Second):
 			t.Fatal("the connection is not ended")
 		}
+		if held := d.memory.Used(); held != 0 {
+			t.Fatalf("%d bytes stay reserved", held)
+		}
 	})
 }
