Connections of peers that are accepted while a daemon closes are closed

Cause: Close cancels the group of goroutines and then closes the listeners. A connection that was accepted between the two got no goroutine and was never closed. Its peer took it for a good one, sent a request on it, got no reply, and had to count the request as possibly run (502 attempt_lost). TestNothingIsSentOnClosedConnections, which failed once, guards against that answer.

Ruled out: the peer's choice of the connection. It had opened the connection after the old one had ended, and nothing told it of the end of the new one.

Change: the accept loop closes a connection that gets no goroutine. workgroup.Group.TryGo reports whether the function runs.

Conclusion: a cause of this answer, not shown to be that of the one failure: there the answer came within some ms, as the whole test took 0.19 s, which is its usual time.

--- a/internal/workgroup/workgroup.go
+++ b/internal/workgroup/workgroup.go
@@ -25,12 +25,17 @@
 func (g *Group) Context() context.Context { return g.ctx }
 
 // Go runs f in a goroutine that Wait waits for. After Cancel, Go does nothing.
-func (g *Group) Go(f func()) {
+func (g *Group) Go(f func()) { g.TryGo(f) }
+
+// TryGo is Go. It reports whether f runs: what f would have closed is left to the caller otherwise.
+func (g *Group) TryGo(f func()) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ctx.Err() == nil {
-		g.wg.Go(f)
+	if g.ctx.Err() != nil {
+		return false
 	}
+	g.wg.Go(f)
+	return true
 }
 
 // Cancel cancels the context. No goroutines are started afterwards.
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -36,7 +36,11 @@
 
 // servePeers accepts connections of other daemons until the listener closes.
 func (d *Daemon) servePeers(l net.Listener) {
-	acceptloop.Run(l, func(c net.Conn) { d.workers.Go(func() { d.servePeer(c) }) }, d.acceptFailed(l.Addr().String()))
+	acceptloop.Run(l, func(c net.Conn) {
+		if !d.workers.TryGo(func() { d.servePeer(c) }) {
+			_ = c.Close() // the listener is closed only after the group is cancelled
+		}
+	}, d.acceptFailed(l.Addr().String()))
 }
 
 func (d *Daemon) servePeer(c net.Conn) {
