No call is made on a connection to a peer whose end has arrived and is not read

Cause: a daemon learns that a peer has closed a connection when the goroutine that reads it gets to the end. Until that goroutine runs, requests and runs are sent on the connection, are lost, and count as possibly run (502 attempt_lost, and a retry from the budget). TestNothingIsSentOnClosedConnections waits 100 ms for this and failed once, within its usual 0.19 s.

Ruled out: a connection that a closing daemon accepts and leaves open: there the answer takes 0.7 s.

Change: before a connection is chosen, and before a request or a run is sent on it, poll(2) is asked whether the end has arrived. No check, wait or bound of a test is changed; three links that tests build by hand get a writer without a socket.

Measured: TestUnreadEndOfConnection failed before the change in both parts and passed 20 of 20 after it.

That the goroutine was late then is not shown: its log was not kept, and 140 runs without a delay did not repeat it.

--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -106,7 +106,7 @@
 func (p *peer) connect(ctx context.Context) (*peerLink, error) {
 	for {
 		p.mu.Lock()
-		if p.link != nil && !p.link.broken.Load() {
+		if p.link != nil && p.link.isUsable() {
 			defer p.mu.Unlock()
 			return p.link, nil
 		}
@@ -244,6 +244,10 @@
 		zap.Int("queued", l.writer.queuedBytes()), zap.Duration("quiet", time.Since(l.received())), errorField(err))
 }
 
+// isUsable reports whether further calls may be made on the connection. The goroutine that reads it may get
+// to its end late: what was sent until then would be lost, and count as possibly run.
+func (l *peerLink) isUsable() bool { return !l.broken.Load() && !l.writer.isClosedByPeer() }
+
 func (l *peerLink) markSent() { l.unanswered.CompareAndSwap(0, int64(time.Since(l.epoch))) }
 
 func (l *peerLink) markReceived() {
@@ -278,7 +282,7 @@
 // peer that is silent until ctx ends: the peer may only be paused or slow.
 func callRun[T any](ctx context.Context, l *peerLink, method string, args any) (T, error) {
 	defer l.beginCall()()
-	if l.ended.Load() {
+	if l.ended.Load() || l.writer.isClosedByPeer() {
 		var zero T
 		return zero, errUnreachable
 	}
@@ -289,7 +293,7 @@
 // becomes silent. Otherwise it waits for the reply until ctx ends.
 func callElsewhere[T any](ctx context.Context, l *peerLink, elsewhere func() bool, method string, args any) (T, error) {
 	defer l.beginCall()()
-	if l.broken.Load() || l.writer.queuedBytes() > maxQueuedBytes {
+	if !l.isUsable() || l.writer.queuedBytes() > maxQueuedBytes {
 		var zero T
 		return zero, errUnreachable
 	}
--- a/mesh/peerclient_test.go
+++ b/mesh/peerclient_test.go
@@ -54,7 +54,7 @@
 		remote, err := l.Accept()
 		So(err, ShouldBeNil)
 		defer remote.Close()
-		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), client: rpc.NewClient(connect(c))}
+		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), writer: &peerWriter{}, client: rpc.NewClient(connect(c))}
 		_ = remote.(*net.TCPConn).CloseWrite()
 		time.Sleep(50 * time.Millisecond) // the client has read the end
 		_, err = callRun[Reply](t.Context(), link, "Run", &RunArgs{ID: 1})
@@ -79,6 +79,49 @@
 // Read implements net.Conn.
 func (blockingReader) Read([]byte) (int, error) { select {} }
 
+// unreadConn is a connection of which nobody reads what arrives.
+type unreadConn struct{ *net.TCPConn }
+
+// Read implements net.Conn.
+func (unreadConn) Read([]byte) (int, error) { select {} }
+
+// Guards against calls on a connection that the peer has closed, while the goroutine that reads it has not
+// run: they would count as possibly run.
+func TestUnreadEndOfConnection(t *testing.T) {
+	Convey("Given a connection whose end has arrived and is not read", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		d := New(Options{HeaderConvention: conventionStub{}, Dial: func(_ context.Context, network, address string) (net.Conn, error) {
+			c, err := net.Dial(network, address)
+			if err != nil {
+				return nil, err
+			}
+			return unreadConn{c.(*net.TCPConn)}, nil
+		}})
+		defer d.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		link, err := d.peer(l.Addr().String()).connect(ctx)
+		So(err, ShouldBeNil)
+		remote, err := l.Accept()
+		So(err, ShouldBeNil)
+		So(remote.Close(), ShouldBeNil)
+		time.Sleep(50 * time.Millisecond) // until the end has arrived
+		Convey("a request for a slot and a run on it were not sent", func() {
+			_, err := callElsewhere[Reply](ctx, link, nil, "Ask", &AskArgs{ID: 1})
+			So(errors.Is(err, errUnreachable), ShouldBeTrue)
+			_, err = callRun[Reply](ctx, link, "Run", &RunArgs{ID: 1})
+			So(errors.Is(err, errUnreachable), ShouldBeTrue)
+		})
+		Convey("the next call gets a new one", func() {
+			next, err := d.peer(l.Addr().String()).connect(ctx)
+			So(err, ShouldBeNil)
+			So(next == link, ShouldBeFalse)
+		})
+	})
+}
+
 // readyCodec is the connection of an rpc.Client whose calls have their reply when they have been sent.
 type readyCodec struct {
 	sent    chan uint64
@@ -115,7 +158,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		codec := readyCodec{sent: make(chan uint64), replied: make(chan struct{}, 1)}
-		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), client: rpc.NewClientWithCodec(codec)}
+		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), writer: &peerWriter{}, client: rpc.NewClientWithCodec(codec)}
 		<-codec.replied // of the first ReadResponseHeader
 		for range 50 {
 			_, err := callRun[Reply](ctx, link, "Run", &RunArgs{ID: 1})
@@ -124,7 +167,7 @@
 	})
 	Convey("So is one that is there when its peer counts as silent", t, func() {
 		codec := readyCodec{sent: make(chan uint64), replied: make(chan struct{}, 1)}
-		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), client: rpc.NewClientWithCodec(codec)}
+		link := &peerLink{epoch: time.Now(), silent: make(chan struct{}), writer: &peerWriter{}, client: rpc.NewClientWithCodec(codec)}
 		<-codec.replied
 		close(link.silent)
 		for range 50 {
--- a/mesh/peerwriter.go
+++ b/mesh/peerwriter.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// isClosedByPeer reports whether the end of the connection has arrived, also while nobody has read it. It is
+// false if conn has no socket.
+func (w *peerWriter) isClosedByPeer() bool {
+	if w.raw == nil {
+		return false
+	}
+	list := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	err := w.raw.Control(func(fd uintptr) {
+		list[0].Fd = int32(fd)
+		_, pollErr := unix.Poll(list, 0)
+		for errors.Is(pollErr, unix.EINTR) {
+			_, pollErr = unix.Poll(list, 0)
+		}
+	})
+	return err == nil && list[0].Revents != 0
+}
+
 // queuedBytes returns the number of bytes that the connection's buffer has not taken.
 func (w *peerWriter) queuedBytes() int {
 	w.mu.Lock()
