Quotas: an owner grants only while its list of daemons is provably recent

Cause: the larger part of a split network that is cut off from the store keeps its list and its owners, and reaches most of the daemons that it asks, while the smaller part gets a new list and chooses other owners. By reachability alone this can't be told from an outage of the store for all.

Change: a daemon keeps a proof of the instant up to which its copy of the store had all acknowledged changes, from the same answers as the proof of the configuration, and hands it on with its age and the position of its copy. An owner grants while that proof is at most Bounds.ListAge old. A new owner waits until the owners by the lists of the last ListAge have answered with the new list, refuse connections, or can have no proof left. The proof is not renewed while the directory holds upstreams that the store does not list. Proofs are kept also without a maximum age of the configuration, while some tenant has a quota.

--- a/core/quota/bounds.go
+++ b/core/quota/bounds.go
@@ -24,6 +24,9 @@
 type Bounds struct {
 	Window           time.Duration
 	Overshoot, Slack float64
+	// ListAge is how old the proof may be that the list of daemons is that of the store, for an owner to grant
+	// tokens, and how long a new owner waits for an earlier one that it can't reach. 0: no proof is needed.
+	ListAge time.Duration
 }
 
 // Limit is the quota of a tenant: Rate requests per second and Burst requests beyond that.
--- /dev/null
+++ b/core/quota/claim.go
@@ -0,0 +1,110 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+)
+
+// An owner whose list of daemons is out of date grants until its proof is ListAge old. A new owner therefore
+// begins when the owner by each earlier list has answered with the new one, has ended, or can have no proof left.
+
+// clockErrorDivisor is the reciprocal of the largest error of the rate of a clock, as in package freshness.
+const clockErrorDivisor = 1000
+
+// earlierList gives the owners by a list that other daemons may still have, until a time.
+type earlierList struct {
+	ring  *rendezvous.Rendezvous
+	until time.Duration
+}
+
+// SetProven records that no change of the list of daemons had been acknowledged at a time that the list in force
+// lacks.
+func (n *Node) SetProven(now, at time.Duration) {
+	if at > now || n.proved && at <= n.proven {
+		return
+	}
+	if n.proved && !n.listProven(now) {
+		clear(n.buckets) // others may have granted tokens meanwhile
+		n.from = max(n.from, now+startTime)
+		n.unsettle(now, nil)
+	}
+	n.proved, n.proven = true, at
+}
+
+// listProven reports whether the list of daemons is provably recent.
+func (n *Node) listProven(now time.Duration) bool {
+	return n.bounds.ListAge <= 0 || n.proved && now-n.proven <= n.bounds.ListAge-n.bounds.ListAge/clockErrorDivisor
+}
+
+// noteProof notices that the list is not provably recent any more, or again.
+func (n *Node) noteProof(now time.Duration) {
+	lost := n.proved && !n.listProven(now)
+	if lost == n.proofLost {
+		return
+	}
+	n.proofLost = lost
+	kind := ProofRegained
+	if lost {
+		kind = ProofLost
+	}
+	n.event(Event{Kind: kind})
+}
+
+// unsettle makes the daemon wait for the owners by an earlier list, nil for the present one without the daemon.
+func (n *Node) unsettle(now time.Duration, earlier *rendezvous.Rendezvous) {
+	if n.bounds.ListAge <= 0 {
+		return
+	}
+	if earlier == nil {
+		others := slices.DeleteFunc(slices.Clone(n.daemons), func(name string) bool { return name == n.self })
+		earlier = rendezvous.New(others, xxhash.Sum64String)
+	}
+	n.changedAt = now
+	n.earlier = slices.DeleteFunc(n.earlier, func(l earlierList) bool { return l.until <= now })
+	n.earlier = append(n.earlier, earlierList{earlier, now + n.bounds.ListAge})
+	clear(n.unconfirmed)
+}
+
+// mayBegin reports whether no other daemon grants tokens of an owned tenant any more. If one may, it is to be asked.
+func (n *Node) mayBegin(now time.Duration, tenant string) bool {
+	may := true
+	for _, l := range n.earlier {
+		owner := l.ring.Lookup(tenant)
+		if now >= l.until || owner == "" || owner == n.self || n.hasStopped(owner) {
+			continue
+		}
+		n.unconfirmed[owner], may = true, false
+	}
+	return may
+}
+
+// hasStopped reports whether a daemon has answered with the present list, or ended, since the list changed.
+func (n *Node) hasStopped(daemon string) bool {
+	l := n.links[daemon]
+	return l != nil && (l.agreedAt > n.changedAt || l.goneAt > n.changedAt)
+}
+
+// begins returns the time from which a new bucket fills.
+func (n *Node) begins(now time.Duration) time.Duration {
+	if n.bounds.ListAge <= 0 {
+		return n.from
+	}
+	return max(n.from, min(now, n.changedAt+n.bounds.ListAge))
+}
+
+// toConfirm returns an earlier owner that is to be asked, empty if there is none.
+func (n *Node) toConfirm(now time.Duration) string {
+	next := ""
+	for daemon := range n.unconfirmed {
+		switch {
+		case n.hasStopped(daemon) || now > n.changedAt+n.bounds.ListAge:
+			delete(n.unconfirmed, daemon)
+		case now >= n.link(daemon).unreachableUntil && (next == "" || daemon < next):
+			next = daemon
+		}
+	}
+	return next
+}
--- a/core/quota/messages.go
+++ b/core/quota/messages.go
@@ -82,4 +82,7 @@
 	OwnershipBegun
 	ContactLost
 	ContactRegained
+	// ProofLost: the list of daemons is not provably recent.
+	ProofLost
+	ProofRegained
 )
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -56,6 +56,9 @@
 	// reached the VM of the daemon.
 	endedAt time.Duration
 	reached bool
+	// agreedAt is when the latest question was sent that was answered with the same list, and goneAt when the daemon
+	// was last found to have ended.
+	agreedAt, goneAt time.Duration
 }
 
 // Node is the part of one daemon. It is not safe for concurrent use.
@@ -81,18 +84,28 @@
 	met                 bool // there has been a contact
 	// majorityAt is the latest time at which the daemon reached most of those that it asked.
 	majorityAt time.Duration
-	buckets    map[string]*bucket
-	holders    map[string]*holder
-	links      map[string]*link
-	swept      time.Duration
-	events     []Event
+	// proven is the latest time of which the list is proven to be that of the store, if proved.
+	proven time.Duration
+	proved bool
+	// proofLost says that the proof has become too old.
+	proofLost bool
+	// earlier are the lists that other daemons may still have, changedAt is when the latest one was replaced, and
+	// unconfirmed are owners by them.
+	earlier     []earlierList
+	changedAt   time.Duration
+	unconfirmed map[string]bool
+	buckets     map[string]*bucket
+	holders     map[string]*holder
+	links       map[string]*link
+	swept       time.Duration
+	events      []Event
 }
 
 // New returns the part of the daemon with the given name, which starts now. random returns a number from 0 to 1.
 func New(self string, bounds Bounds, random func() float64, now time.Duration) *Node {
 	return &Node{
 		self: self, bounds: bounds, random: random, started: now, from: now, contact: now, confirmFrom: now + 1, ticked: now, majorityAt: now, inContact: true,
-		buckets: make(map[string]*bucket), holders: make(map[string]*holder), links: make(map[string]*link),
+		buckets: make(map[string]*bucket), holders: make(map[string]*holder), links: make(map[string]*link), unconfirmed: make(map[string]bool),
 	}
 }
 
@@ -108,6 +121,7 @@
 	if len(n.daemons) > 0 {
 		n.from = max(n.from, now+handoverTime)
 	}
+	earlier := n.ring
 	n.most, n.mostUntil = max(n.mostDaemons(now), len(daemons)), now+n.bounds.Window
 	n.daemons, n.known, n.list = daemons, make(map[string]bool, len(daemons)), 0
 	for _, name := range daemons {
@@ -116,6 +130,7 @@
 	}
 	n.ring = rendezvous.New(daemons, xxhash.Sum64String)
 	n.generation++
+	n.unsettle(now, earlier)
 	for tenant := range n.buckets {
 		if n.ring.Lookup(tenant) != n.self {
 			delete(n.buckets, tenant)
@@ -338,6 +353,7 @@
 func (n *Node) Answered(now, sent time.Duration, daemon string, wants []Want, answer Answer) {
 	if answer.List == n.list {
 		n.recordContact(now, sent)
+		n.link(daemon).agreedAt = sent
 	}
 	l := n.link(daemon)
 	l.unreachableUntil, l.endedAt, l.reached = 0, now, true
@@ -368,6 +384,9 @@
 func (n *Node) Failed(now time.Duration, daemon string, ended bool) {
 	l := n.link(daemon)
 	l.unreachableUntil, l.endedAt, l.reached = now+unreachableTime, now, ended
+	if ended {
+		l.goneAt = now
+	}
 	if !l.doubtful {
 		l.doubtful = true
 		n.event(Event{Kind: OwnerUnreachable, Subject: daemon})
@@ -393,10 +412,10 @@
 func (n *Node) grant(now time.Duration, w Want, l Limit) Grant {
 	b := n.buckets[w.Tenant]
 	if b == nil {
-		if len(n.buckets) >= maxTenants {
+		if len(n.buckets) >= maxTenants || !n.mayBegin(now, w.Tenant) {
 			return Grant{NotOwner: true}
 		}
-		b = &bucket{limit: l, capacity: n.bounds.capacity(l), at: n.from}
+		b = &bucket{limit: l, capacity: n.bounds.capacity(l), at: n.begins(now)}
 		n.buckets[w.Tenant] = b
 		if n.from != n.started {
 			n.event(Event{Kind: OwnershipBegun, Subject: w.Tenant, Limit: l})
@@ -412,6 +431,7 @@
 // Tick drops the state of tenants without requests. It is called every 100 ms or more often.
 func (n *Node) Tick(now time.Duration) {
 	n.inContactAt(now)
+	n.noteProof(now)
 	if now-n.swept < sweepInterval {
 		return
 	}
--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -40,7 +40,7 @@
 
 // instant returns the present instant for proofs, and false if none are kept.
 func (d *Daemon) instant() (freshness.Instant, bool) {
-	if d.settings.MaxConfigAge <= 0 {
+	if d.settings.MaxConfigAge <= 0 && !d.hasQuotas() {
 		return 0, false
 	}
 	now, err := bootTime()
@@ -75,15 +75,12 @@
 // agingProof reports whether peers are to be asked for a proof. d.mu is held.
 func (d *Daemon) agingProof() bool {
 	now, ok := d.instant()
-	return ok && d.hasTenants() && d.freshness.Aging(now)
+	return ok && d.hasTenants() && (d.freshness.Aging(now) || d.settings.MaxConfigAge <= 0 && d.listFreshness.Aging(now))
 }
 
 // followTime returns how long a source may keep a request of this daemon waiting.
 func (d *Daemon) followTime() time.Duration {
-	if !d.hasTenants() {
-		return followWait
-	}
-	return d.freshness.Wait(followWait)
+	return d.proofWait(followWait)
 }
 
 // noteStoreConfig records the configuration that the replica holds, after it was put in force. One that is
@@ -116,6 +113,7 @@
 	if !base.proves || update.At.Before(base.at) || !update.Whole && !isComplete(update) {
 		return
 	}
+	d.renewListFromStore(base, update.At)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if at := d.replica.At(); d.config == nil || at.Era != update.At.Era || at.Before(update.At) {
@@ -179,7 +177,7 @@
 
 // checkFreshness logs when the configuration begins or ceases to be provably recent.
 func (d *Daemon) checkFreshness() {
-	if !d.hasTenants() {
+	if !d.freshness.Enabled() || !d.hasTenants() {
 		return
 	}
 	now, ok := d.instant()
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -18,7 +19,7 @@
 func (d *Daemon) newQuotas() *quotas.Controller {
 	return quotas.New(quotas.Options{
 		Self: d.settings.BackendAddress, Log: d.log, Go: d.workers.Go, Context: d.ctx,
-		Bounds: quota.Bounds{Window: d.settings.QuotaWindow, Overshoot: d.settings.QuotaOvershoot, Slack: d.settings.QuotaSlack},
+		Bounds: quota.Bounds{Window: d.settings.QuotaWindow, Overshoot: d.settings.QuotaOvershoot, Slack: d.settings.QuotaSlack, ListAge: d.settings.listAge()},
 		Count:  func(result string) { d.metrics.Count(metricQuotaQuestions, result) },
 		Ask: func(ctx context.Context, daemon string, wants []quota.Want) (quota.Answer, error) {
 			p := d.peer(d.peerAddress(daemon))
@@ -50,21 +51,31 @@
 	return nil
 }
 
-// tickQuotas passes a changed list of daemons on. d.mu is held.
+// tickQuotas passes a changed list of daemons on, and the proof of it. d.mu is held.
 func (d *Daemon) tickQuotas() {
-	table := d.table()
-	used := table != nil && table.Config().Tenants != nil && table.Config().Tenants.Limited()
+	used := d.hasQuotas()
 	d.quotas.SetUsed(used)
-	if !used || !d.listedChanged {
+	if !used {
 		return
 	}
-	d.listedChanged = false
+	if d.listedChanged {
+		d.listedChanged = false
+		d.quotas.SetDaemons(d.backendAddresses())
+	}
+	// The list is not that of the store while it holds upstreams that the store does not list.
+	if proof, way := d.listFreshness.Latest(); way != "" && !d.dir.Unlisted() {
+		d.quotas.SetProven(time.Duration(proof.At))
+	}
+}
+
+// backendAddresses returns the addresses of all known upstreams. d.mu is held.
+func (d *Daemon) backendAddresses() []string {
 	all := d.dir.All()
 	addresses := make([]string, len(all))
 	for i, u := range all {
 		addresses[i] = u.Address
 	}
-	d.quotas.SetDaemons(addresses)
+	return addresses
 }
 
 // takeToken requests a token for the request if its tenant has a quota. It returns false if the request is refused.
--- a/quotas/controller.go
+++ b/quotas/controller.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// SetProven records that the list of daemons was that of the store at a time.
+func (c *Controller) SetProven(at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.node.SetProven(c.opts.Now(), at)
+}
+
 // Take requests a token for a request of a tenant. It returns when ctx ends, at the latest.
 func (c *Controller) Take(ctx context.Context, tenant string, limit quota.Limit) Result {
 	decision, done := c.take(tenant, limit, false)
@@ -314,7 +321,11 @@
 		case quota.ContactLost:
 			c.opts.Log.Info(eventContactLost, zap.String("reason", "no other daemon with the same list of daemons has answered"))
 		case quota.ContactRegained:
-			c.opts.Log.Info(eventContactRegained)
+			c.opts.Log.Info(eventContactRegained, zap.String("reason", "another daemon with the same list of daemons has answered"))
+		case quota.ProofLost:
+			c.opts.Log.Warn(eventContactLost, zap.String("reason", "the list of daemons is not provably recent"))
+		case quota.ProofRegained:
+			c.opts.Log.Info(eventContactRegained, zap.String("reason", "the list of daemons is provably recent"))
 		}
 	}
 }
