Quotas: a new owner begins when the earlier ones have stopped, not when the first request comes

Cause: the bucket of a new owner began at the time of the first request within ListAge of a change, although earlier owners had confirmed before.

Change: a daemon keeps when each other one had first answered with the present list or ended, and its buckets begin then.

Result: TestNewOwnerConfirmsBeforeRequests fails before and passes now; the tests of core/quota pass (100 histories each).

--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -68,31 +68,38 @@
 	clear(n.unconfirmed)
 }
 
-// mayBegin reports whether no other daemon grants tokens of an owned tenant any more. If one may, it is to be asked.
-func (n *Node) mayBegin(now time.Duration, tenant string) bool {
-	may := true
+// begin returns the time from which no other daemon has granted tokens of an owned tenant, and false if one still may,
+// which is to be asked then.
+func (n *Node) begin(now time.Duration, tenant string) (time.Duration, bool) {
+	at, may := n.from, true
 	for _, l := range n.earlier {
 		owner := l.ring.Lookup(tenant)
-		if now >= l.until || owner == "" || owner == n.self || n.hasStopped(owner) {
+		if owner == "" || owner == n.self {
 			continue
 		}
-		n.unconfirmed[owner], may = true, false
+		stopped := l.until
+		if n.hasStopped(owner) {
+			stopped = min(stopped, n.links[owner].stoppedAt)
+		}
+		if stopped > now {
+			n.unconfirmed[owner], may = true, false
+		}
+		at = max(at, stopped)
+	}
+	return at, may
+}
+
+// recordStopped records that a daemon has answered with the present list, or ended.
+func (n *Node) recordStopped(now time.Duration, daemon string) {
+	if !n.hasStopped(daemon) {
+		n.link(daemon).stoppedAt = now
 	}
-	return may
 }
 
 // hasStopped reports whether a daemon has answered with the present list, or ended, since the list changed.
 func (n *Node) hasStopped(daemon string) bool {
 	l := n.links[daemon]
-	return l != nil && (l.agreedAt > n.changedAt || l.goneAt > n.changedAt)
-}
-
-// begins returns the time from which a new bucket fills.
-func (n *Node) begins(now time.Duration) time.Duration {
-	if n.bounds.ListAge <= 0 {
-		return n.from
-	}
-	return max(n.from, min(now, n.changedAt+n.bounds.ListAge))
+	return l != nil && l.stoppedAt > n.changedAt
 }
 
 // toConfirm returns an earlier owner that is to be asked, empty if there is none.
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -57,9 +57,8 @@
 	// reached the VM of the daemon.
 	endedAt time.Duration
 	reached bool
-	// agreedAt is when the latest question was sent that was answered with the same list, and goneAt when the daemon
-	// was last found to have ended.
-	agreedAt, goneAt time.Duration
+	// stoppedAt is when the daemon had first answered with the same list, or ended, after a change of the list.
+	stoppedAt time.Duration
 }
 
 // Node is the part of one daemon. It is not safe for concurrent use.
@@ -359,7 +358,9 @@
 func (n *Node) Answered(now, sent time.Duration, daemon string, wants []Want, answer Answer) {
 	if answer.List == n.list {
 		n.recordContact(now, sent)
-		n.link(daemon).agreedAt = sent
+		if sent > n.changedAt {
+			n.recordStopped(now, daemon)
+		}
 	}
 	l := n.link(daemon)
 	l.unreachableUntil, l.endedAt, l.reached = 0, now, true
@@ -391,7 +392,7 @@
 	l := n.link(daemon)
 	l.unreachableUntil, l.endedAt, l.reached = now+unreachableTime, now, ended
 	if ended {
-		l.goneAt = now
+		n.recordStopped(now, daemon)
 	}
 	if !l.doubtful {
 		l.doubtful = true
@@ -418,10 +419,11 @@
 func (n *Node) grant(now time.Duration, w Want, l Limit) Grant {
 	b := n.buckets[w.Tenant]
 	if b == nil {
-		if len(n.buckets) >= maxTenants || !n.mayBegin(now, w.Tenant) {
+		begin, may := n.begin(now, w.Tenant)
+		if len(n.buckets) >= maxTenants || !may {
 			return Grant{NotOwner: true}
 		}
-		b = newBucket(n.bounds, l, n.begins(now))
+		b = newBucket(n.bounds, l, begin)
 		n.buckets[w.Tenant] = b
 		if n.from != n.started {
 			n.event(Event{Kind: OwnershipBegun, Subject: w.Tenant, Limit: l})
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -506,6 +506,22 @@
 	}
 }
 
+// Guards against a new owner that waits again when the first request comes, although earlier ones have long confirmed.
+func TestNewOwnerConfirmsBeforeRequests(t *testing.T) {
+	f, limit := owned(4)
+	limit.Burst = limit.Rate
+	for _, daemons := range [][]string{f.names[:4], f.names} { // the new owner joins
+		for _, n := range f.nodes {
+			n.SetDaemons(f.now, daemons)
+		}
+		f.run(f.now+2500*ms, true, func(int) bool { return false })
+	}
+	answer := f.nodes[4].Serve(f.now, []Want{{Tenant: "t", Need: 1}}, func(string) (Limit, bool) { return limit, true })
+	if answer.Grants[0].Tokens != 1 {
+		t.Errorf("granted %+v 2.5 s after the change", answer.Grants[0])
+	}
+}
+
 // Guards against owners that grant without a proof for longer than its maximum age, service that ends before, and
 // service without the floors, in an outage of the store for all daemons.
 func TestOutageOfStore(t *testing.T) {
