Quotas: 503 quota_unavailable where the owner can't grant

Cause: a request was refused with 429 quota_exceeded also if the owner of the tenant did not answer, was new, or had no proof of its list, and the floor was used up. That is not the tenant's fault. Retry-After was 0.5 s whatever the reason.

Change: result code 230 quota_unavailable (503) with a reason of its own in the log line, in quota_decisions_total and in quota_refusals_total.

Result: TestQuotaOverDaemons (no 429 during an outage of the store once the proofs are too old, 503 with Retry-After and reason) and checkReturns in TestOutageOfStore (a caller that returns when it was told to is served) pass; before, TestQuotaOverDaemons sees 429 there. Packages core/quota, mesh, platform, resultcode and internal/explain pass.

--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -23,11 +23,14 @@
 // newBucket returns an empty bucket for an owner that begins at a time. An earlier one may have granted a burst just
 // before, so that the bucket fills only after the time that makes up for it.
 func newBucket(bounds Bounds, l Limit, begin time.Duration) *bucket {
-	b := &bucket{bounds: bounds, at: begin + secondsOf(l.Burst/bounds.fill(l))}
+	b := &bucket{bounds: bounds, at: begin + burstTime(bounds, l)}
 	b.setLimit(l)
 	return b
 }
 
+// burstTime returns the time in which a bucket receives a burst.
+func burstTime(bounds Bounds, l Limit) time.Duration { return secondsOf(l.Burst / bounds.fill(l)) }
+
 func (b *bucket) setLimit(l Limit) {
 	if b.limit != l {
 		b.limit, b.fill, b.capacity = l, b.bounds.fill(l), b.bounds.capacity(l)
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -102,6 +102,22 @@
 	return l != nil && l.stoppedAt > n.changedAt
 }
 
+// beginsIn returns the time until an owned tenant may receive tokens, if earlier owners that have answered the latest
+// question confirm that they have stopped.
+func (n *Node) beginsIn(now time.Duration, tenant string, l Limit) time.Duration {
+	if b := n.buckets[tenant]; b != nil {
+		return max(b.at-now, 0)
+	}
+	at := max(n.from, now)
+	for _, e := range n.earlier {
+		owner := e.ring.Lookup(tenant)
+		if link := n.links[owner]; owner != n.self && now < e.until && link != nil && link.doubtful && !n.hasStopped(owner) {
+			at = max(at, e.until)
+		}
+	}
+	return at - now + burstTime(n.bounds, l)
+}
+
 // toConfirm returns an earlier owner that is to be asked, empty if there is none.
 func (n *Node) toConfirm(now time.Duration) string {
 	next := ""
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -156,7 +156,7 @@
 func (n *Node) Take(now time.Duration, tenant string, l Limit, again bool) Decision {
 	h := n.holder(now, tenant, l)
 	if h == nil {
-		return n.unknown()
+		return n.tooMany()
 	}
 	if !again {
 		h.countRequest(now)
@@ -205,7 +205,7 @@
 func (n *Node) TakeFloor(now time.Duration, tenant string, l Limit) Decision {
 	h := n.holder(now, tenant, l)
 	if h == nil {
-		return n.unknown()
+		return n.tooMany()
 	}
 	if token, ok := h.take(now); ok {
 		return n.granted(now, tenant, h, token)
@@ -223,11 +223,38 @@
 	if h.rank < holders && h.takeFloor(now, n.bounds.Window, n.started, each) {
 		return Decision{Verdict: Floor, Token: Token{tenant: tenant}}
 	}
-	return n.unknown()
+	reason, wait := n.unavailable(now, tenant, h)
+	if h.rank < holders {
+		wait = min(wait, h.floorFree(now, n.bounds.Window, n.started, each))
+	}
+	return Decision{Verdict: Unknown, Return: n.spread(max(wait, minReturn)), Reason: reason}
+}
+
+func (n *Node) tooMany() Decision {
+	return Decision{Verdict: Unknown, Return: n.spread(sweepInterval), Reason: ReasonTooMany}
 }
 
-func (n *Node) unknown() Decision {
-	return Decision{Verdict: Unknown, Return: n.spread(unreachableTime)}
+// unavailable returns why the owner of a tenant can't grant tokens, and the time until it may, or is asked again.
+func (n *Node) unavailable(now time.Duration, tenant string, h *holder) (Reason, time.Duration) {
+	again := unreachableTime
+	if !n.listProven(now) {
+		again = n.bounds.Window // most likely the store is unavailable to all
+	}
+	switch {
+	case h.owner == "":
+		return ReasonNoOwner, unreachableTime
+	case h.owner == n.self && n.mayGrant(now):
+		return ReasonNew, n.beginsIn(now, tenant, h.limit)
+	case h.owner == n.self:
+		return ReasonSuspended, again
+	case now < n.link(h.owner).unreachableUntil:
+		return ReasonUnreachable, n.link(h.owner).unreachableUntil - now
+	case now < h.disownedUntil && now < h.readyAt:
+		return ReasonNew, h.readyAt - now
+	case now < h.disownedUntil:
+		return ReasonSuspended, again
+	}
+	return ReasonUnreachable, unreachableTime
 }
 
 // Return gives a token back whose request has not run.
@@ -379,7 +406,7 @@
 		}
 		switch {
 		case g.NotOwner:
-			h.disownedUntil = now + disownedTime
+			h.disownedUntil, h.readyAt = now+disownedTime, now+g.Free
 		case g.Tokens < w.Need:
 			n.denied(now, h, g)
 		}
@@ -419,10 +446,13 @@
 func (n *Node) grant(now time.Duration, w Want, l Limit) Grant {
 	b := n.buckets[w.Tenant]
 	if b == nil {
-		begin, may := n.begin(now, w.Tenant)
-		if len(n.buckets) >= maxTenants || !may {
+		if len(n.buckets) >= maxTenants {
 			return Grant{NotOwner: true}
 		}
+		begin, may := n.begin(now, w.Tenant)
+		if !may {
+			return Grant{NotOwner: true, Free: n.beginsIn(now, w.Tenant, l)}
+		}
 		b = newBucket(n.bounds, l, begin)
 		n.buckets[w.Tenant] = b
 		if n.from != n.started {
@@ -431,7 +461,7 @@
 	}
 	b.settle(now, l)
 	if now < b.at {
-		return Grant{NotOwner: true}
+		return Grant{NotOwner: true, Free: b.at - now}
 	}
 	return b.grant(now, min(max(w.Need, 0), maxTokens), min(max(w.Spare, 0), maxTokens))
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -522,12 +522,30 @@
 	}
 }
 
+// checkReturns fails if a caller that returns when it was told to is not served, while nobody else is.
+func (f *fleet) checkReturns(t *testing.T) {
+	for i, n := range f.nodes {
+		d := n.TakeFloor(f.now, "t", f.limits[i]["t"])
+		for d.Verdict == Floor {
+			f.runs["t"] = append(f.runs["t"], f.now)
+			d = n.TakeFloor(f.now, "t", f.limits[i]["t"])
+		}
+		if d.Verdict != Unknown || d.Return > f.bounds.Window*3/2 {
+			t.Fatalf("verdict %d, return after %s, want %d and at most a window and a half", d.Verdict, d.Return, Unknown)
+		}
+		if later := n.TakeFloor(f.now+d.Return, "t", f.limits[i]["t"]); later.Verdict != Floor {
+			t.Errorf("verdict %d after the wait of %s for %q", later.Verdict, d.Return, d.Reason)
+		}
+	}
+}
+
 // Guards against owners that grant without a proof for longer than its maximum age, service that ends before, and
 // service without the floors, in an outage of the store for all daemons.
 func TestOutageOfStore(t *testing.T) {
 	f, limit := owned(0)
 	all := func(int) bool { return true }
 	f.run(16*time.Second, false, all) // proven until 5 s
+	f.checkReturns(t)
 	f.run(20*time.Second, true, all)
 	if n := f.granted(5*time.Second, 7500*ms); n < 240 {
 		t.Errorf("%d requests ran in the first 2.5 s", n)
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -85,10 +85,14 @@
 	}
 	d := c.daemon
 	r := d.quotas.Take(c.r.Context(), c.tenant.Name, limitOf(c.tenant))
-	d.metrics.Count(metricQuotaDecisions, string(r.Outcome))
+	decision, code := string(r.Outcome), resultcode.QuotaExceeded
+	if r.Outcome == quotas.OutcomeUnknown {
+		decision, code = string(r.Reason), resultcode.QuotaUnavailable
+	}
+	d.metrics.Count(metricQuotaDecisions, decision)
 	if !r.Allowed() {
-		d.metrics.Count(metricQuotaRefusals, c.tenant.Name, string(r.Outcome))
-		c.refuse(resultcode.QuotaExceeded, r.Return, string(r.Outcome))
+		d.metrics.Count(metricQuotaRefusals, c.tenant.Name, decision)
+		c.refuse(code, r.Return, decision)
 		return false
 	}
 	c.token, c.hasToken = r.Token, true
--- a/quotas/controller.go
+++ b/quotas/controller.go
@@ -49,9 +49,9 @@
 // Outcomes.
 const (
 	OutcomeGranted Outcome = "granted"
-	OutcomeFloor   Outcome = "floor"             // while the owner did not answer
-	OutcomeLimited Outcome = "quota"             // refused: the quota is used up
-	OutcomeUnknown Outcome = "owner_unreachable" // refused: the owner does not answer and the floor is used up
+	OutcomeFloor   Outcome = "floor"       // while the owner did not answer
+	OutcomeLimited Outcome = "quota"       // refused: the quota is used up
+	OutcomeUnknown Outcome = "unavailable" // refused: the owner can't grant and the floor is used up; see Result.Reason
 )
 
 // Result answers a request for a token. The request may run if the outcome is OutcomeGranted or OutcomeFloor.
@@ -60,6 +60,8 @@
 	Token   quota.Token
 	// Return is the time after which a refused caller may return.
 	Return time.Duration
+	// Reason is that of OutcomeUnknown.
+	Reason quota.Reason
 }
 
 // Allowed reports whether the request may run.
@@ -160,7 +162,7 @@
 			}
 			continue
 		case <-ctx.Done():
-			return result(quota.Decision{Verdict: quota.Unknown})
+			return result(quota.Decision{Verdict: quota.Unknown, Reason: quota.ReasonUnreachable})
 		case <-timer.C:
 		}
 		last := decision
@@ -202,7 +204,7 @@
 	case quota.Limited:
 		outcome = OutcomeLimited
 	}
-	return Result{Outcome: outcome, Token: d.Token, Return: d.Return}
+	return Result{Outcome: outcome, Token: d.Token, Return: d.Return, Reason: d.Reason}
 }
 
 // Return gives the token of a request back that has not run.
