Admit new requests by the demand for the services that their calls reach

Cause: the gate at the entry raised a level while the highest blocked share that any reply stated was above 0.08. Before that, it rose only after queues at the narrow service had taken up the slots of the services above it. Kinds that make no calls were refused with those that do.

Change: servers state the demand for their slots, each level of the call graph states means over its calls, and the entry computes the share that the demand leaves room for from what it admitted before (core/loadshed, core/slots).

The fields that gate_test.go reads were renamed; its checks are unchanged.

--- a/core/loadshed/gate_test.go
+++ b/core/loadshed/gate_test.go
@@ -55,7 +55,7 @@
 			simulate(100, 2)
 			simulate(20, 2)
 			So(admitted[2], ShouldEqual, 1000)
-			So(gate.Levels(), ShouldBeEmpty)
+			So(gate.Refused(), ShouldBeEmpty)
 		})
 	})
 }
@@ -86,7 +86,7 @@
 			}
 		}
 		gone := func(string) bool { return unavailable }
-		meter.Refresh(gone)
+		meter.Refresh(now, gone)
 		gate.Observe(now, "entry", meter.Shares(now))
 		gate.Tick(now, gone)
 		if since := now.Sub(start) - duration; since >= 0 && total >= 19 || since > time.Minute {
@@ -139,11 +139,11 @@
 		simulate(100, 0, 1, 2, 3)
 		simulate(200, 0)
 		Convey("its level covers the ranks in use only", func() {
-			So(gate.Levels()["deep"], ShouldEqual, 1)
+			So(gate.services["deep"].level, ShouldEqual, 1)
 		})
 		Convey("nothing is kept of the others", func() {
-			So(gate.levels["deep"].lastRequest, ShouldHaveLength, 1)
-			So(gate.levels["deep"].lastReport, ShouldHaveLength, 1)
+			So(gate.services["deep"].lastRequest, ShouldHaveLength, 1)
+			So(gate.services["deep"].reports.from, ShouldHaveLength, 1)
 		})
 	})
 }
--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -143,6 +143,9 @@
 	byKind                        map[string]*average
 	failing                       float64
 	demand                        map[int]*demand // by rank
+	offered                       offeredWork
+	offeredByKind                 map[string]*offeredWork
+	sharingKinds                  int // of offeredByKind, as of the latest Tick
 }
 
 // demand is the run time requested by one rank, as an exponentially decaying sum with
@@ -190,7 +193,7 @@
 
 // New returns an open limiter for a backend server with the given number of slots.
 func New(slots int) *Limiter {
-	l := &Limiter{running: make(map[uint64]activeRun), byKind: make(map[string]*average), demand: make(map[int]*demand), fair: newFairOrder()}
+	l := &Limiter{running: make(map[uint64]activeRun), byKind: make(map[string]*average), demand: make(map[int]*demand), offeredByKind: make(map[string]*offeredWork), fair: newFairOrder()}
 	l.SetSlots(slots)
 	return l
 }
@@ -233,6 +236,9 @@
 	}
 	position := l.queuePosition(r.Rank, tag)
 	wait := l.expectedWait(now, position, r)
+	if wait == 0 || r.MayQueue {
+		l.offer(now, r.Kind, cost)
+	}
 	switch {
 	case wait == 0:
 		l.fair.add(&r, tag, cost)
@@ -421,6 +427,7 @@
 // be expected to start in time.
 func (l *Limiter) Tick(now time.Time) []Event {
 	l.dropIdleRanks(now)
+	l.countKinds(now)
 	events := l.startWaiting(now, nil)
 	remaining := l.queue[:0]
 	for _, w := range l.queue {
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -171,7 +171,7 @@
 	defer close(c.rest.ended)
 	for {
 		if step.Code != 0 {
-			d.countEnd(c.route, service, step.Code)
+			d.countEnd(c.route, service, step.Code, time.Since(c.arrived))
 			c.returnToken(step.Code)
 			c.refuse(step.Code, step.RetryAfter, step.Reason)
 			return
@@ -186,7 +186,7 @@
 		next := c.report(report)
 		d.logAttempt(c, report, next)
 		if next.Deliver {
-			d.countEnd(c.route, service, resultcode.OK)
+			d.countEnd(c.route, service, resultcode.OK, time.Since(c.arrived))
 			c.deliver(answer)
 			return
 		}
@@ -279,7 +279,7 @@
 	c.daemon.noteLeaving(c, &reply)
 	c.daemon.notePeerState(reply.State, c.daemon.peerAddress(step.Upstream.Address))
 	if reply.Outcome != 0 {
-		c.daemon.recordBlocked(c.route, c.outgoing.Service, &reply)
+		c.daemon.recordOverload(c.route, &reply)
 	}
 	retryable := !c.more
 	if result != dispatch.Answered && !answer.continues() {
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -144,8 +144,8 @@
 	exchanges        quarantine.Exchanges
 	clock            fleetclock.Clock
 	callGraph        *callgraph.Observer
-	callMeter        *loadshed.Meter // blocked shares of the calls of the local backend server
-	entryMeter       *loadshed.Meter // blocked shares of new requests of callers
+	callMeter        *loadshed.Meter      // blocked shares of the calls of the local backend server
+	dependence       *loadshed.Dependence // which kinds make no calls at the local backend server
 	gate             *loadshed.Gate
 	callRoutes       map[string]bool // routes whose requests are calls of the local backend server
 	lastGateTick     time.Time
@@ -220,7 +220,7 @@
 		opts: opts, settings: settings, log: opts.Logger, convention: opts.HeaderConvention,
 		headers: newHeaderCodec(opts.HeaderConvention.Names()), metrics: opts.Metrics,
 		started: time.Now(), dir: directory.New(), limiter: slots.New(initialSlots),
-		callGraph: callgraph.New(), callMeter: loadshed.NewMeter(), entryMeter: loadshed.NewMeter(), gate: loadshed.NewGate(opts.Rand.Float64), callRoutes: make(map[string]bool),
+		callGraph: callgraph.New(), callMeter: loadshed.NewMeter(), dependence: loadshed.NewDependence(), gate: loadshed.NewGate(opts.Rand.Float64), callRoutes: make(map[string]bool),
 		splitter: routing.Splitter{Rand: opts.Rand},
 		sources:  watchers.New(watchers.Daemon{Address: settings.BackendAddress, Zone: settings.Zone}), changed: make(chan struct{}),
 		freshness: freshness.New(settings.MaxConfigAge),
--- a/mesh/loadshed.go
+++ b/mesh/loadshed.go
@@ -14,7 +14,7 @@
 const (
 	// minShedRetryAfter and shedRetryAfterSpan determine the time after which a caller may
 	// retry a request that the gate refused: minShedRetryAfter, plus shedRetryAfterSpan times
-	// the shedding level, which counts as 1 at most.
+	// the share of requests that is refused.
 	minShedRetryAfter  = 300 * time.Millisecond
 	shedRetryAfterSpan = 1200 * time.Millisecond
 )
@@ -29,59 +29,62 @@
 	if d.callRoutes[route.Name] {
 		return service, nil
 	}
-	return service, d.gate.Admit(now, service, rank)
+	return service, d.gate.Admit(now, route.Name, rank)
 }
 
 // refuseShed refuses a request that the gate did not admit.
 func (c *callerRequest) refuseShed(service string, refusal *loadshed.Refusal) {
 	c.daemon.log.Info(eventNotAdmitted, zap.String("id", c.head.ID), zap.String("service", service),
-		zap.String("blocked", refusal.Service), zap.Float64("level", refusal.Level), zap.Int("rank", c.rank()))
-	retryAfter := minShedRetryAfter + time.Duration(float64(shedRetryAfterSpan)*min(refusal.Level, 1))
+		zap.String("blocked", refusal.Service), zap.Float64("share", refusal.Share), zap.Int("rank", c.rank()))
+	retryAfter := minShedRetryAfter + time.Duration(float64(shedRetryAfterSpan)*refusal.Share)
 	c.refuse(resultcode.ShedEarly, retryAfter, "blocked_below")
 }
 
-// recordBlocked records whether requests of the route are calls, and the blocked shares, as a
-// reply of an upstream of the service reports them.
-func (d *Daemon) recordBlocked(route *routing.Route, service string, reply *Reply) {
+// recordOverload records whether requests of the route are calls, and which services are overloaded, as a
+// reply states.
+func (d *Daemon) recordOverload(route *routing.Route, reply *Reply) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !reply.CallUnknown && d.callRoutes[route.Name] != reply.Call {
 		d.callRoutes[route.Name] = reply.Call
 	}
-	if len(reply.Blocked) == 0 {
+	if d.callRoutes[route.Name] {
+		d.callMeter.Observe(now, route.Name, reply.Overloaded)
 		return
 	}
-	if !d.callRoutes[route.Name] {
-		d.gate.Observe(now, service, reply.Blocked)
-		return
+	d.gate.Observe(now, route.Name, reply.Overloaded)
+}
+
+// overloaded returns what a reply to a request of a kind states: how far the local backend server is overloaded and, if
+// the request may make calls, the services further down. d.mu is held.
+func (d *Daemon) overloaded(now time.Time, kind string) []loadshed.Share {
+	var shares []loadshed.Share
+	if !d.dependence.CallFree(kind) {
+		shares = d.callMeter.Shares(now)
 	}
-	for _, share := range reply.Blocked {
-		d.callMeter.Observe(now, share)
+	local, known := d.dir.At(d.settings.BackendAddress)
+	own := loadshed.Share{Service: local.Service, Demand: d.limiter.DemandFor(now, kind)}
+	if known && own.Significant() {
+		shares = append(shares, own)
 	}
+	return shares
 }
 
-// countEnd records whether a call of the local backend server, or a new request, was blocked.
-// Refusals by an upstream that has free slots, and failures, do not indicate an overload and
-// are not counted.
-func (d *Daemon) countEnd(route *routing.Route, service string, code resultcode.Code) {
+// countEnd records how a call of the local backend server ended, after the given time. Refusals by an upstream that
+// has free slots, failures and runs that took too long do not indicate an overload and are not counted.
+func (d *Daemon) countEnd(route *routing.Route, service string, code resultcode.Code, latency time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
 	if !d.callRoutes[route.Name] {
-		switch code {
-		case resultcode.OK:
-			d.entryMeter.Count(now, service, false)
-		case resultcode.Shed, resultcode.QueueTimeout, resultcode.DeadlineTooShort:
-			d.entryMeter.Count(now, service, true)
-		}
 		return
 	}
 	switch code {
 	case resultcode.OK:
-		d.callMeter.Count(now, service, false)
-	case resultcode.Shed, resultcode.NoUpstream, resultcode.QueueTimeout, resultcode.DeadlineTooShort, resultcode.DeadlineExceeded:
-		d.callMeter.Count(now, service, true)
+		d.callMeter.Count(time.Now(), service, false)
+		d.dependence.CallEnded(latency)
+	case resultcode.Shed, resultcode.NoUpstream, resultcode.QueueTimeout, resultcode.DeadlineTooShort:
+		d.callMeter.Count(time.Now(), service, true)
 	}
 }
 
@@ -91,18 +94,11 @@
 		return
 	}
 	d.lastGateTick = now
-	d.callMeter.Refresh(d.serviceUnavailable)
-	d.entryMeter.Refresh(d.serviceUnavailable)
-	// The blocked shares of new requests count as well. Calls are always admitted, so that
-	// requests of the same rank would otherwise be treated differently depending on whether
-	// they reach the service directly or through calls.
-	for _, share := range d.entryMeter.Shares(now) {
-		d.gate.Observe(now, share.Service, []loadshed.Share{share})
-	}
-	before := len(d.gate.Levels())
+	d.callMeter.Refresh(now, d.serviceUnavailable)
+	before := len(d.gate.Refused())
 	d.gate.Tick(now, d.serviceUnavailable)
-	if levels := d.gate.Levels(); len(levels) != before {
-		d.log.Info(eventGate, zap.String("levels", fmt.Sprint(levels)))
+	if refused := d.gate.Refused(); len(refused) != before {
+		d.log.Info(eventGate, zap.String("refused", fmt.Sprint(refused)))
 	}
 }
 
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -207,6 +207,9 @@
 func (d *Daemon) releaseSlot(a *localAttempt, outcome slots.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !outcome.Rejected && !outcome.Failed {
+		d.dependence.RunEnded(a.kind, outcome.Elapsed)
+	}
 	d.deliverDecisions(d.limiter.Done(time.Now(), a.id, outcome))
 }
 
@@ -231,7 +234,7 @@
 	origin := d.callGraph.Classify(a.kind)
 	return Reply{
 		Outcome: outcome, Reason: string(decision.Reason), Wait: decision.Wait,
-		Load: d.limiter.LoadFor(a.kind), Call: origin == callgraph.Call, CallUnknown: origin == callgraph.Unknown, Blocked: d.callMeter.Shares(now), State: d.state(),
+		Load: d.limiter.LoadFor(a.kind), Call: origin == callgraph.Call, CallUnknown: origin == callgraph.Unknown, Overloaded: d.overloaded(now, a.kind), State: d.state(),
 		Leaving: d.dir.StatedLeaving(a.instance), Reports: d.crashes.ReportsOf(a.fingerprint),
 	}
 }
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -132,8 +132,8 @@
 	// requests. CallUnknown says that the daemon, which may have started recently, has received too
 	// few to tell.
 	Call, CallUnknown bool
-	// Blocked holds the blocked shares of the upstream's calls, by service.
-	Blocked []loadshed.Share
+	// Overloaded holds the services that are overloaded, of the upstream's own and those that it calls.
+	Overloaded []loadshed.Share
 	// Reports are crash reports of requests with the fingerprint of this one.
 	Reports []quarantine.Report
 	// State is what the daemon has received from the store.
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -138,7 +138,7 @@
 	d.metrics.Gauge(metricEra, locked(func() int { return int(d.replica.At().Era) }))
 	d.metrics.Gauge(metricRevision, locked(func() int { return int(d.replica.At().Revision) }))
 	d.metrics.Gauge(metricSuspects, locked(d.crashes.Len))
-	d.metrics.Gauge(metricGated, locked(func() int { return len(d.gate.Levels()) }))
+	d.metrics.Gauge(metricGated, locked(func() int { return len(d.gate.Refused()) }))
 	d.metrics.Gauge(metricProofAge, d.proofAge)
 	for metric, value := range map[*telemetry.Metric]func() int64{
 		metricMemoryLimit: d.memory.Limit, metricMemoryUsed: d.memory.Used, metricMemoryWaiting: d.memory.Waiting,
