Don't repeat failed runs while the calls of their upstream are blocked

Cause: a run that fails because one of its calls was blocked is answered 500, and the daemon above repeated it at another upstream, whose calls go to the same service.

Change: replies state blocked services; while one is above the threshold, a failure is passed on.

Test: TestFailuresAreNotRepeatedWhileCallsAreBlocked (fails without the change).

--- a/core/dispatch/repeat.go
+++ b/core/dispatch/repeat.go
@@ -36,6 +36,8 @@
 		return bodySpent, false
 	case report.Quarantined:
 		return quarantined, false
+	case report.Result == Failed && report.BlockedBelow:
+		return "blocked_below", false
 	case !req.Route.Idempotent && report.Result != Rejected:
 		return "not_idempotent", false
 	case sent >= req.Route.MaxUpstreams:
--- a/core/dispatch/repeat_test.go
+++ b/core/dispatch/repeat_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -73,3 +74,16 @@
 		So(d.budget("s").Available(start), ShouldBeFalse)
 	})
 }
+
+// Guards against running a tree of calls again, which fails for lack of capacity further down, at another upstream.
+func TestFailuresAreNotRepeatedWhileCallsAreBlocked(t *testing.T) {
+	for _, blocked := range []bool{false, true} {
+		Convey(fmt.Sprint("A run fails; calls of the upstream are blocked: ", blocked), t, func() {
+			d, _ := fleet(3)
+			req := open(d, true)
+			So(d.Next(start, req).Code, ShouldEqual, resultcode.Code(0))
+			step := d.Report(start, req, Report{Result: Failed, Retryable: true, BlockedBelow: blocked})
+			So(step.Deliver, ShouldEqual, blocked)
+		})
+	}
+}
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -131,6 +131,8 @@
 	// Load is the load of the upstream, valid if HasLoad is set.
 	Load    slots.Load
 	HasLoad bool
+	// BlockedBelow says that calls of the upstream are blocked, so that a run that has failed would fail at others too.
+	BlockedBelow bool
 	// Wait is the expected time until a slot is free, for Refused and Rejected, or until the
 	// quarantine ends, for Quarantined.
 	Wait time.Duration
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+	"github.com/hawthornpoint/hawthornpoint/core/loadshed"
 	"github.com/hawthornpoint/hawthornpoint/core/quota"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
@@ -287,7 +289,7 @@
 		retryable, c.bodyErr = !c.rest.consumed, c.rest.err
 	}
 	report := dispatch.Report{
-		Result: result, Load: reply.Load, HasLoad: reply.Outcome != 0,
+		Result: result, Load: reply.Load, HasLoad: reply.Outcome != 0, BlockedBelow: slices.ContainsFunc(reply.Overloaded, loadshed.Share.Blocks),
 		Wait: reply.Wait, Retryable: retryable,
 		Quarantined: result.Sent() && c.daemon.quarantinedFor(c.fingerprint) > 0,
 	}
