Callers that are refused at the entry may retry in time for their objective

Cause: the time to return grew with the refused share up to 1.5 s, so that a caller that was admitted then got its answer after its objective.

Change: the time ends by the objective less the average latency of the route, at least 0.3 s.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -332,6 +332,9 @@
 	}
 }
 
+// AverageLatency returns the average time from sending a request of a route to its answer, 0 if unknown.
+func (d *Dispatcher) AverageLatency(route string) time.Duration { return d.averageLatency[route] }
+
 func (d *Dispatcher) exclude(req *OutgoingRequest) {
 	if req.tried == nil {
 		req.tried = make(map[string]bool)
--- a/mesh/loadshed.go
+++ b/mesh/loadshed.go
@@ -36,8 +36,17 @@
 func (c *callerRequest) refuseShed(service string, refusal *loadshed.Refusal) {
 	c.daemon.log.Info(eventNotAdmitted, zap.String("id", c.head.ID), zap.String("service", service),
 		zap.String("blocked", refusal.Service), zap.Float64("share", refusal.Share), zap.Int("rank", c.rank()))
-	retryAfter := minShedRetryAfter + time.Duration(float64(shedRetryAfterSpan)*refusal.Share)
-	c.refuse(resultcode.ShedEarly, retryAfter, "blocked_below")
+	c.refuse(resultcode.ShedEarly, c.daemon.shedRetryAfter(c.route, refusal.Share), "blocked_below")
+}
+
+// shedRetryAfter returns when the caller of a refused request may retry: later if more is refused, but in time for
+// the objective.
+func (d *Daemon) shedRetryAfter(route *routing.Route, share float64) time.Duration {
+	d.mu.Lock()
+	latest := route.LatencyObjective - d.dispatcher.AverageLatency(route.Name)
+	d.mu.Unlock()
+	wanted := minShedRetryAfter + time.Duration(float64(shedRetryAfterSpan)*share)
+	return max(min(wanted, latest), minShedRetryAfter)
 }
 
 // recordOverload records whether requests of the route are calls, and which services are overloaded, as a
