--- a/core/loadshed/demand.go
+++ b/core/loadshed/demand.go
@@ -1,9 +1,12 @@
 package loadshed
 
 const (
-	// targetDemand is the demand for a service that is aimed at. Upstreams differ, so that some
-	// have queues before all are in use.
-	targetDemand = 0.97
+	// targetDemand is the demand for a service that is aimed at where nothing is refused. Upstreams
+	// differ, so that some have queues before all are in use. An entry aims at more the more it refuses,
+	// by targetDroop at most: entries see the same demand, and those that refuse more than others would
+	// otherwise go on doing so.
+	targetDemand = 0.95
+	targetDroop  = 0.05
 	// lowDemand is the demand below which nothing is to be refused, whatever has been refused before:
 	// what was refused may have caused less of the demand than what was admitted.
 	lowDemand = 0.5
@@ -15,14 +18,15 @@
 	riseWeight, fallWeight = 0.2, 0.3
 	// rankDecay is how much of the weight of a rank is left after one tick.
 	rankDecay = 0.95
-	// minRefused is the share below which none is refused.
-	minRefused = 0.01
+	// minRefused is the share below which none is refused, and minRankWeight the number of recent
+	// requests below which a rank is dropped.
+	minRefused, minRankWeight = 0.01, 0.01
 	// minArrivals is the number of requests below which their admitted share is not known.
 	minArrivals = 3
 )
 
 // demandShare computes which share of the requests that lead to a service is refused so that the demand
-// for it meets targetDemand.
+// for it meets the target.
 type demandShare struct {
 	share  float64         // of the requests of all ranks
 	byRank map[int]float64 // what is refused of each rank
@@ -62,9 +66,9 @@
 
 // tick ends a tick in which the reported demand was the given one.
 func (d *demandShare) tick(demand float64) {
-	wanted := 0.0
-	if offered := demand / d.admittedBefore(); offered > targetDemand && demand > lowDemand {
-		wanted = 1 - targetDemand/offered
+	wanted, target := 0.0, d.target()
+	if offered := demand / d.admittedBefore(); offered > target && demand > lowDemand {
+		wanted = 1 - target/offered
 	}
 	weight := fallWeight
 	if wanted > d.share {
@@ -79,6 +83,9 @@
 	d.ticks[d.now] = traffic{}
 }
 
+// target returns the demand that is aimed at.
+func (d *demandShare) target() float64 { return targetDemand + targetDroop*d.share }
+
 // admittedBefore returns the share of the requests that was admitted when those entered that cause the
 // demand now.
 func (d *demandShare) admittedBefore() float64 {
@@ -98,7 +105,7 @@
 func (d *demandShare) divide() {
 	total := 0.0
 	for rank, weight := range d.weight {
-		if weight < minRefused {
+		if weight < minRankWeight {
 			delete(d.weight, rank)
 			delete(d.byRank, rank)
 			continue
--- a/core/loadshed/dependence.go
+++ b/core/loadshed/dependence.go
@@ -1,6 +1,9 @@
 package loadshed
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// latencyWeight is the weight of one call in the average latency of the backend server's calls.
@@ -11,8 +14,12 @@
 	// minSpread is how far the latency of calls must have varied for a judgement, as a multiple of
 	// its mean: a standard deviation.
 	minSpread = 0.25
+	// maxUnjudged is the number of judgements that may be missing, as the latency does not vary,
+	// until a kind is taken to make calls again.
+	maxUnjudged = 20
 	// callFreeSlope is the change of the run time of a kind with the latency of calls, below which
 	// its runs are taken to make no calls. It is 1 for one call in each run.
+	// A slope below its negative has another cause, and tells nothing.
 	callFreeSlope = 0.2
 	// maxRunFactor bounds one run time as a multiple of the mean of its kind: few runs take much longer
 	// than the others.
@@ -32,6 +39,7 @@
 type regression struct {
 	n, run, latency, product, square float64
 	callFree                         bool
+	unjudged                         int // judgements that were missing since the latest
 }
 
 // NewDependence returns a Dependence that knows no kinds.
@@ -80,7 +88,10 @@
 	variance := r.square/r.n - mean*mean
 	if variance > minSpread*minSpread*mean*mean {
 		covariance := r.product/r.n - mean*r.run/r.n
-		r.callFree = covariance < callFreeSlope*variance
+		r.callFree = math.Abs(covariance) < callFreeSlope*variance
+		r.unjudged = 0
+	} else if r.unjudged++; r.unjudged >= maxUnjudged {
+		r.callFree = false
 	}
 	keep := runsKept / r.n
 	r.n, r.run, r.latency, r.product, r.square = runsKept, r.run*keep, r.latency*keep, r.product*keep, r.square*keep
--- a/core/loadshed/gate.go
+++ b/core/loadshed/gate.go
@@ -60,7 +60,7 @@
 // Observe records what the reply to a new request of a kind states.
 func (g *Gate) Observe(now time.Time, kind string, shares []Share) {
 	for _, share := range shares {
-		if g.services[share.Service] == nil && len(g.services) < maxServices {
+		if g.services[share.Service] == nil && share.Significant() && len(g.services) < maxServices {
 			g.services[share.Service] = &overload{reports: newReports(), demand: newDemandShare(), lastRequest: make(map[int]time.Time)}
 		}
 	}
@@ -82,11 +82,12 @@
 func (g *Gate) Admit(now time.Time, kind string, rank int) *Refusal {
 	refusal := Refusal{}
 	for service, o := range g.services {
-		if now.Sub(o.reports.from[kind]) > pathLife {
+		if !o.reachedBy(now, kind) {
 			continue
 		}
 		o.lastRequest[rank] = now
 		share := min(max(o.blockedShare(now, rank), o.demand.refused(rank)), 1-minAdmittedShare)
+		// What is refused for other services lowers the demand for this one, and need not be refused for it too.
 		o.demand.count(rank, 1-share)
 		if share > refusal.Share {
 			refusal = Refusal{Service: service, Share: share}
@@ -98,6 +99,11 @@
 	return nil
 }
 
+// reachedBy reports whether requests of a kind lead to the service.
+func (o *overload) reachedBy(now time.Time, kind string) bool {
+	return now.Sub(o.reports.from[kind]) <= pathLife
+}
+
 // blockedShare returns the share of a rank that is refused because of blocked calls. Each rank in use
 // takes up one unit of the level, the least important first.
 func (o *overload) blockedShare(now time.Time, rank int) float64 {
@@ -145,7 +151,7 @@
 	switch {
 	case o.unavailable && isBlocked:
 		return unavailableRaise
-	case isBlocked && demand < targetDemand:
+	case isBlocked && demand < o.demand.target():
 		o.returning = false
 		return min(raise*(blocked-blockedThreshold), maxRaise)
 	case o.returning:
--- a/core/loadshed/meter.go
+++ b/core/loadshed/meter.go
@@ -13,11 +13,11 @@
 	meanTime = 150 * time.Millisecond
 	// priorCalls is the number of calls that were not blocked that a blocked share begins with, so
 	// that a few calls don't count much.
-	priorCalls = 1
+	priorCalls = 5
 	// minWeight is the weight below which a mean is forgotten: that of one sample after 6 times
 	// meanTime.
 	minWeight = 0.0025
-	// minBlocked and minDemand are the values above which replies begin to state a Share. They
+	// minBlocked and minDemand are the values above which daemons begin to pass a Share on. They
 	// go on until it is below keptShare of both.
 	minBlocked, minDemand = 0.01, 0.3
 	keptShare             = 0.25
@@ -25,6 +25,9 @@
 	// known: both come from other daemons.
 	maxStated   = 10
 	maxServices = 64
+	// maxDistance is the number of daemons that pass a statement on. Services that call each other
+	// would otherwise pass it on for ever.
+	maxDistance = 8
 )
 
 // Share describes how far a service is overloaded.
@@ -34,10 +37,12 @@
 	Blocked float64
 	// Demand is the work that is offered to the service, as a multiple of what it can do.
 	Demand float64
+	// Distance is the number of daemons that have passed the share on.
+	Distance int
 }
 
-// Blocks reports whether most failures of requests that make several calls to the service are due to
-// calls that are blocked.
+// Blocks reports whether most failures of requests that make several calls to the service are due to calls that
+// are blocked.
 func (s Share) Blocks() bool { return s.Blocked > blockedThreshold }
 
 // bounded returns the share with values in their ranges.
@@ -52,7 +57,7 @@
 	return s
 }
 
-// Significant reports whether replies begin to state the share.
+// Significant reports whether daemons begin to pass the share on.
 func (s Share) Significant() bool { return s.Blocked > minBlocked || s.Demand > minDemand }
 
 // find returns what a reply states of a service: nothing if it is not overloaded.
@@ -95,6 +100,7 @@
 // reports is what replies state of a service.
 type reports struct {
 	blocked, demand mean
+	distance        int // of the latest report
 	// from holds when replies to each kind last stated the service. In replies to the same kinds that
 	// don't state it, no call to it was blocked; the demand is low or not known there.
 	from map[string]time.Time
@@ -109,8 +115,12 @@
 	} else if r.from[kind].IsZero() {
 		return
 	}
+	if share.Distance > maxDistance {
+		return
+	}
 	r.blocked.add(now, share.Blocked)
 	if share.Demand > 0 {
+		r.distance = share.Distance
 		r.demand.add(now, share.Demand)
 	}
 }
@@ -144,7 +154,7 @@
 
 // Count records the end of a call to a service, and whether the call was blocked.
 func (m *Meter) Count(now time.Time, service string, blocked bool) {
-	if m.services[service] == nil && !blocked {
+	if m.services[service] == nil && len(m.services) >= maxServices {
 		return
 	}
 	sample := 0.0
@@ -157,7 +167,7 @@
 // Observe records what the reply to a call of a kind states.
 func (m *Meter) Observe(now time.Time, kind string, shares []Share) {
 	for _, share := range shares {
-		if m.services[share.Service] != nil || len(m.services) < maxServices {
+		if share.Significant() && len(m.services) < maxServices {
 			m.estimate(share.Service)
 		}
 	}
@@ -190,11 +200,14 @@
 			Blocked: max(e.own.over(now, priorCalls), e.reports.blocked.over(now, 0)),
 			Demand:  e.reports.demand.over(now, 0),
 		}
+		if e.reports.demand.weight >= minWeight {
+			share.Distance = e.reports.distance + 1
+		}
 		switch {
-		case share.Blocked < keptShare*minBlocked && share.Demand < keptShare*minDemand:
-			delete(m.services, service)
-		default:
+		case share.Blocked >= keptShare*minBlocked || share.Demand >= keptShare*minDemand:
 			shares = append(shares, share)
+		case e.own.weight < minWeight:
+			delete(m.services, service)
 		}
 	}
 	sort.Slice(shares, func(i, j int) bool { return shares[i].Service < shares[j].Service })
--- a/core/loadshed/tree_test.go
+++ b/core/loadshed/tree_test.go
@@ -13,8 +13,8 @@
 const (
 	stepTime     = 5 * time.Millisecond
 	callsOfTree  = 8
-	callSpacing  = 60 * time.Millisecond
 	longestQueue = 250 * time.Millisecond
+	callSpacing  = 60 * time.Millisecond
 )
 
 // treeLoad plays requests that each make callsOfTree calls, one after the other, through a relay to a narrow service.
@@ -51,8 +51,8 @@
 func (l *treeLoad) play(duration time.Duration, perSecond map[int]float64) {
 	l.admitted, l.served = make(map[int]int), make(map[int]int)
 	for end := l.now.Add(duration); l.now.Before(end); l.now = l.now.Add(stepTime) {
-		for rank, rate := range perSecond {
-			for n := rate*stepTime.Seconds() + l.random.Float64(); n >= 1; n-- {
+		for _, rank := range ranksDescending(perSecond) {
+			for n := perSecond[rank]*stepTime.Seconds() + l.random.Float64(); n >= 1; n-- {
 				gate := l.gates[l.random.IntN(len(l.gates))]
 				if gate.Admit(l.now, "entry", rank) == nil {
 					l.admitted[rank]++
@@ -168,3 +168,48 @@
 		}
 	})
 }
+
+// Guards against a demand that two services that call each other state for ever.
+func TestStatementsInCycle(t *testing.T) {
+	Convey("A demand that nobody measures any more is forgotten by services that call each other", t, func() {
+		a, b, now := NewMeter(), NewMeter(), time.Unix(1000, 0)
+		a.Observe(now, "x", []Share{{Service: "x", Demand: 1.5, Blocked: 0.3}})
+		for range 1000 {
+			now = now.Add(20 * time.Millisecond)
+			a.Count(now, "x", false)
+			a.Observe(now, "x", nil)
+			a.Observe(now, "b", b.Shares(now))
+			b.Observe(now, "a", a.Shares(now))
+		}
+		So(a.Shares(now), ShouldBeEmpty)
+		So(b.Shares(now), ShouldBeEmpty)
+	})
+}
+
+// Guards against entries that refuse important requests while others admit less important ones, since they have
+// begun at different times.
+func TestEntriesConverge(t *testing.T) {
+	Convey("Of entries that refuse both ranks, half are restarted", t, func() {
+		l, load := newTreeLoad(60, 8000), map[int]float64{0: 1000, 2: 600}
+		l.play(12*time.Second, load)
+		for i := range 30 {
+			l.gates[i] = NewGate(l.random.Float64)
+		}
+		difference := func() float64 {
+			sum := 0.0
+			for i, gate := range l.gates {
+				share := gate.services["narrow"].demand.refused(2) / 30
+				if i < 30 {
+					share = -share
+				}
+				sum += share
+			}
+			return sum
+		}
+		l.play(4*time.Second, load)
+		before := difference()
+		l.play(20*time.Second, load)
+		t.Logf("difference in the less important rank: %.2f, 20 s later %.2f", before, difference())
+		So(difference(), ShouldBeLessThan, before/2)
+	})
+}
--- a/core/slots/limiter.go
+++ b/core/slots/limiter.go
@@ -145,7 +145,10 @@
 	demand                        map[int]*demand // by rank
 	offered                       offeredWork
 	offeredByKind                 map[string]*offeredWork
-	sharingKinds                  int // of offeredByKind, as of the latest Tick
+	// sharingKinds counts the kinds that share the slots, and smallKindsFit says that those that ask for little
+	// ask for little together, as of the latest Tick.
+	sharingKinds  int
+	smallKindsFit bool
 }
 
 // demand is the run time requested by one rank, as an exponentially decaying sum with
--- a/core/slots/offered.go
+++ b/core/slots/offered.go
@@ -6,14 +6,17 @@
 )
 
 const (
-	// minOfferedTime is the shortest time constant with which offered work decays, and
-	// offeredRequests the number of requests that the slots can run in it, so that a single one
+	// minOfferedTime and maxOfferedTime bound the time constant with which offered work decays.
+	// offeredRequests is the number of requests that the slots can run in it, so that a single one
 	// is a small part of it.
 	minOfferedTime  = 300 * time.Millisecond
+	maxOfferedTime  = 1500 * time.Millisecond
 	offeredRequests = 60
 	// smallKindShare is the part of an equal share of the slots up to which the demand of a kind
 	// is small.
 	smallKindShare = 0.5
+	// maxSmallKinds is the part of the slots that small kinds may ask for together.
+	maxSmallKinds = 0.25
 	// minKindShare is the part of the slots from which a kind counts among those that share them.
 	minKindShare = 0.01
 )
@@ -34,7 +37,8 @@
 
 // offeredTime returns the time constant with which offered work decays.
 func (l *Limiter) offeredTime() time.Duration {
-	return max(minOfferedTime, time.Duration(offeredRequests*float64(l.averageRun())/l.concurrency()))
+	constant := time.Duration(offeredRequests * float64(l.averageRun()) / l.concurrency())
+	return min(max(constant, minOfferedTime), maxOfferedTime)
 }
 
 // offer records a request that starts, waits or is refused for good. Those that are sent on to another
@@ -54,22 +58,26 @@
 }
 
 // DemandFor returns the run time that is offered to the slots and the one that waits, as a multiple of what they
-// can do. What waits counts twice, as it holds slots further up the call graph meanwhile. It is 0 for a
-// kind that asks for little of its equal share: refusing it would give hardly any room to others.
+// can do. What waits counts twice, as it holds slots further up the call graph meanwhile. While nothing waits, the
+// demand is at most what runs. It is 0 for a kind that asks for little of its equal share: refusing it would give
+// hardly any room to others.
 func (l *Limiter) DemandFor(now time.Time, kind string) float64 {
 	constant := l.offeredTime()
 	capacity := l.concurrency() * float64(constant)
 	if l.isSmallKind(now, kind, capacity, constant) {
 		return 0
 	}
-	waiting := float64(len(l.queue)) * float64(l.averageRun())
-	return (float64(l.offered.over(now, constant)) + waiting) / capacity
+	demand := float64(l.offered.over(now, constant)) / capacity
+	if len(l.queue) == 0 && !l.rate.active() {
+		return min(demand, float64(len(l.running))/float64(l.limit))
+	}
+	return demand + float64(len(l.queue))*float64(l.averageRun())/capacity
 }
 
 // isSmallKind reports whether a kind asks for less than smallKindShare of an equal share among several kinds.
 func (l *Limiter) isSmallKind(now time.Time, kind string, capacity float64, constant time.Duration) bool {
 	w := l.offeredByKind[kind]
-	if w == nil || l.sharingKinds < 2 {
+	if w == nil || l.sharingKinds < 2 || !l.smallKindsFit {
 		return false
 	}
 	return float64(w.over(now, constant)) < smallKindShare*capacity/float64(l.sharingKinds)
@@ -79,13 +87,20 @@
 func (l *Limiter) countKinds(now time.Time) {
 	constant := l.offeredTime()
 	capacity := l.concurrency() * float64(constant)
-	l.sharingKinds = 0
+	sharing := 0
 	for kind, w := range l.offeredByKind {
 		switch offered := w.over(now, constant); {
 		case float64(offered) >= minKindShare*capacity:
-			l.sharingKinds++
+			sharing++
 		case offered < minDemand:
 			delete(l.offeredByKind, kind)
 		}
 	}
+	small := 0.0
+	for _, w := range l.offeredByKind {
+		if offered := float64(w.over(now, constant)); offered < smallKindShare*capacity/float64(max(sharing, 1)) {
+			small += offered
+		}
+	}
+	l.sharingKinds, l.smallKindsFit = sharing, small <= maxSmallKinds*capacity
 }
--- a/core/slots/offered_test.go
+++ b/core/slots/offered_test.go
@@ -46,6 +46,15 @@
 			play(2*time.Second, map[string]int{"a": 20})
 			So(l.DemandFor(now, "a"), ShouldBeGreaterThan, 2)
 		})
+		Convey("the demand is at most what runs while nothing waits", func() {
+			for range 2000 {
+				id, now = id+1, now.Add(time.Millisecond)
+				if l.Admit(now, Request{ID: id, Kind: "fails", MayQueue: true, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}).Verdict == Start {
+					l.Done(now, id, Outcome{Elapsed: time.Millisecond, Failed: true})
+				}
+			}
+			So(l.DemandFor(now, "fails"), ShouldBeLessThan, 0.1)
+		})
 		Convey("a kind that asks for little does not see the demand of others, until it asks for more", func() {
 			play(2*time.Second, map[string]int{"a": 15, "b": 1})
 			So(l.DemandFor(now, "a"), ShouldBeGreaterThan, 1.4)
--- a/mesh/loadshed.go
+++ b/mesh/loadshed.go
@@ -14,7 +14,7 @@
 const (
 	// minShedRetryAfter and shedRetryAfterSpan determine the time after which a caller may
 	// retry a request that the gate refused: minShedRetryAfter, plus shedRetryAfterSpan times
-	// the share of requests that is refused.
+	// the share of requests that is refused, early enough for the objective.
 	minShedRetryAfter  = 300 * time.Millisecond
 	shedRetryAfterSpan = 1200 * time.Millisecond
 )
@@ -74,7 +74,7 @@
 	}
 	local, known := d.dir.At(d.settings.BackendAddress)
 	own := loadshed.Share{Service: local.Service, Demand: d.limiter.DemandFor(now, kind)}
-	if known && own.Significant() {
+	if known && own.Demand > 0 {
 		shares = append(shares, own)
 	}
 	return shares
