--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/dispatch"
+	"github.com/hawthornpoint/hawthornpoint/core/loadshed"
 	"github.com/hawthornpoint/hawthornpoint/core/quota"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
@@ -171,7 +173,7 @@
 	defer close(c.rest.ended)
 	for {
 		if step.Code != 0 {
-			d.countEnd(c.route, service, step.Code)
+			d.countEnd(c.route, service, step.Code, time.Since(c.arrived))
 			c.returnToken(step.Code)
 			c.refuse(step.Code, step.RetryAfter, step.Reason)
 			return
@@ -186,7 +188,7 @@
 		next := c.report(report)
 		d.logAttempt(c, report, next)
 		if next.Deliver {
-			d.countEnd(c.route, service, resultcode.OK)
+			d.countEnd(c.route, service, resultcode.OK, time.Since(c.arrived))
 			c.deliver(answer)
 			return
 		}
@@ -279,7 +281,7 @@
 	c.daemon.noteLeaving(c, &reply)
 	c.daemon.notePeerState(reply.State, c.daemon.peerAddress(step.Upstream.Address))
 	if reply.Outcome != 0 {
-		c.daemon.recordBlocked(c.route, c.outgoing.Service, &reply)
+		c.daemon.recordOverload(c.route, &reply)
 	}
 	retryable := !c.more
 	if result != dispatch.Answered && !answer.continues() {
@@ -287,7 +289,7 @@
 		retryable, c.bodyErr = !c.rest.consumed, c.rest.err
 	}
 	report := dispatch.Report{
-		Result: result, Load: reply.Load, HasLoad: reply.Outcome != 0,
+		Result: result, Load: reply.Load, HasLoad: reply.Outcome != 0, BlockedBelow: slices.ContainsFunc(reply.Overloaded, loadshed.Share.Blocks),
 		Wait: reply.Wait, Retryable: retryable,
 		Quarantined: result.Sent() && c.daemon.quarantinedFor(c.fingerprint) > 0,
 	}
