--- a/core/loadshed/tree_test.go
+++ b/core/loadshed/tree_test.go
@@ -28,10 +28,8 @@
 	backlog  float64 // calls that wait
 	demand   mean    // calls offered in each step
 	calls    map[time.Time][]*tree
-	sent     int
 	admitted map[int]int
 	served   map[int]int
-	finished int
 }
 
 type tree struct {
