--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -226,16 +226,6 @@
 	return max(RecoveryGrace-now.Sub(d.recoveredAt), 0)
 }
 
-// Unlisted reports whether upstreams are in use that the store does not list.
-func (d *Directory) Unlisted() bool {
-	for _, e := range d.entries {
-		if e.lapsed {
-			return true
-		}
-	}
-	return false
-}
-
 // Expire removes lapsed upstreams whose grace has ended and returns their IDs. While the
 // store is available, no upstream stays lapsed for longer than RecoveryGrace, however often
 // the grace is extended.
--- a/core/quota/bounds.go
+++ b/core/quota/bounds.go
@@ -14,9 +14,6 @@
 	// exactly.
 	minLifetime = 100 * time.Millisecond
 	maxLifetime = 500 * time.Millisecond
-	// historySteps divides the window for the history of grants. Grants of one step count until the last of them
-	// has left the window, which capacityShare makes up for.
-	historySteps = 250
 )
 
 // DefaultBounds are in force where the deployment states none.
@@ -27,9 +24,6 @@
 type Bounds struct {
 	Window           time.Duration
 	Overshoot, Slack float64
-	// ListAge is how old the proof may be that the list of daemons is that of the store, for an owner to grant
-	// tokens, and how long a new owner waits for an earlier one that it can't reach. 0: no proof is needed.
-	ListAge time.Duration
 }
 
 // Limit is the quota of a tenant: Rate requests per second and Burst requests beyond that.
@@ -44,25 +38,15 @@
 // allowance returns what a window allows beyond the quota.
 func (b Bounds) allowance(l Limit) float64 { return b.quota(l)*b.Overshoot + b.Slack }
 
-// fill returns the tokens per second that a bucket receives: what the limit gives in a window, spread over it.
-func (b Bounds) fill(l Limit) float64 { return b.quota(l) / b.Window.Seconds() }
-
-// lifetime returns how long a token may be used, counted from before the question that it answers. Half of
-// lifetimeShare is left to bursts that are closer together by a lifetime than a window.
+// lifetime returns how long a token may be used, counted from before the question that it answers.
 func (b Bounds) lifetime(l Limit) time.Duration {
-	life := lifetimeShare / 2 * b.allowance(l) / b.fill(l) * float64(time.Second)
+	life := lifetimeShare * b.allowance(l) / l.Rate * float64(time.Second)
 	return time.Duration(max(min(life, float64(maxLifetime)), float64(minLifetime)))
 }
 
 // capacity returns the capacity of the owner's bucket.
 func (b Bounds) capacity(l Limit) float64 { return max(l.Burst+capacityShare*b.allowance(l), 1) }
 
-// mostGranted returns how many tokens an owner grants in a window and a lifetime: these may be used in one window.
-func (b Bounds) mostGranted(l Limit) float64 {
-	late := max(lifetimeShare*b.allowance(l), b.fill(l)*b.lifetime(l).Seconds())
-	return max(b.quota(l)+capacityShare*b.allowance(l)+late, 1)
-}
-
 // floor returns how many of the given number of daemons have a floor, and how many requests each of them
 // may run in a window while the owner does not answer.
 func (b Bounds) floor(l Limit, daemons int) (holders, each int) {
--- a/core/quota/contact.go
+++ b/core/quota/contact.go
@@ -23,7 +23,6 @@
 func (n *Node) beginAgain(now time.Duration) {
 	n.from = max(n.from, now+handoverTime)
 	clear(n.buckets)
-	n.unsettle(now, nil)
 }
 
 // reachesMost reports whether the daemon has reached most of those that it asked recently, itself included.
@@ -42,8 +41,8 @@
 
 // countAsked returns the numbers of daemons that were asked in the latest majorityTime, and that were reached then.
 func (n *Node) countAsked(now time.Duration) (asked, reached int) {
-	for daemon, l := range n.links {
-		if !n.known[daemon] || l.endedAt == 0 || now-l.endedAt > majorityTime {
+	for _, l := range n.links {
+		if l.endedAt == 0 || now-l.endedAt > majorityTime {
 			continue
 		}
 		asked++
@@ -54,10 +53,9 @@
 	return asked, reached
 }
 
-// mayGrant reports whether the daemon has been in contact with another one, and its list proven, recently enough to be
-// owner.
+// mayGrant reports whether the daemon has been in contact with another one recently enough to be owner.
 func (n *Node) mayGrant(now time.Duration) bool {
-	return n.listProven(now) && (len(n.daemons) == 1 && n.known[n.self] || n.inContactAt(now))
+	return len(n.daemons) == 1 && n.known[n.self] || n.inContactAt(now)
 }
 
 func (n *Node) inContactAt(now time.Duration) bool {
@@ -88,9 +86,6 @@
 	if now-n.contact >= contactInterval || n.contact < n.confirmFrom {
 		return n.other()
 	}
-	if daemon := n.toConfirm(now); daemon != "" {
-		return daemon
-	}
 	if asked, _ := n.countAsked(now); asked < min(minAsked, len(n.daemons)-1) {
 		return n.other()
 	}
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -15,9 +15,6 @@
 // may have been replaced without having received that. It grants nothing until it has one, and after a gap
 // its buckets begin empty.
 //
-// Where Bounds.ListAge is set, an owner also grants only while its list of daemons is provably that of the store, not
-// longer than ListAge ago, and a new owner waits until earlier ones have the new list or have no proof left.
-//
 // The package does no I/O and reads no clock. Times are readings of a steady clock that also counts the
 // time in which the VM is suspended. A Node is not safe for concurrent use. It answers a load of about one
 // question for each request of a tenant with a quota; its memory is bounded by the tenants in use.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -28,8 +28,6 @@
 
 	// disownedUntil is until when the owner is not asked, since it says that it is not the owner.
 	disownedUntil time.Duration
-	// readyAt is when it will be, 0 if that is unknown.
-	readyAt time.Duration
 	// owner is valid for one generation of the list of daemons, and rank for another one.
 	generation, rankGeneration int
 	owner                      string
@@ -81,15 +79,6 @@
 	h.lots[i] = lot{count, expires}
 }
 
-// floorFree returns the time until the floor holds a token.
-func (h *holder) floorFree(now, window, started time.Duration, each int) time.Duration {
-	free := started + window - now
-	if len(h.floorUses) >= each {
-		free = max(free, h.floorUses[0]+window-now)
-	}
-	return max(free, 0) + 1
-}
-
 // takeFloor uses the floor if fewer than each uses lie within the window.
 func (h *holder) takeFloor(now, window, started time.Duration, each int) bool {
 	if now-started <= window {
--- a/core/quota/messages.go
+++ b/core/quota/messages.go
@@ -21,39 +21,18 @@
 	Wait
 	// Limited: the tenant has used its quota.
 	Limited
-	// Unknown: the owner can't grant tokens, and the floor is used up.
+	// Unknown: the owner does not answer, and the floor is used up.
 	Unknown
 )
 
-// Reason says why the owner of a tenant can't grant tokens, as the value of a label.
-type Reason string
-
-// Reasons.
-const (
-	// ReasonUnreachable: the owner does not answer.
-	ReasonUnreachable Reason = "owner_unreachable"
-	// ReasonNew: the daemon has become owner recently, and earlier owners may have granted tokens.
-	ReasonNew Reason = "owner_new"
-	// ReasonSuspended: the owner is not in contact with others, or its list of daemons is not provably recent, or
-	// daemons have different lists.
-	ReasonSuspended Reason = "owner_suspended"
-	// ReasonNoOwner: no daemon is known.
-	ReasonNoOwner Reason = "owner_unknown"
-	// ReasonTooMany: there are too many tenants.
-	ReasonTooMany Reason = "too_many_tenants"
-)
-
 // Decision answers a request for a token.
 type Decision struct {
 	Verdict Verdict
 	Token   Token
 	// Daemon is the daemon to be asked for Wait.
 	Daemon string
-	// Return is the time after which a refused caller may return: when a token is expected to be free, or for Unknown
-	// when the owner is asked again or the floor is free, whichever is earlier.
+	// Return is the time after which a refused caller may return.
 	Return time.Duration
-	// Reason is that of Unknown.
-	Reason Reason
 	// Doubtful says for Wait that the daemon did not answer the latest question.
 	Doubtful bool
 }
@@ -71,8 +50,7 @@
 	// Free is the time until the next token is free, if fewer were granted than needed. Return is when the
 	// first of the refused callers should return; it grows while callers are refused.
 	Free, Return time.Duration
-	// NotOwner says that the daemon is not the owner, or has owned the tenant for too short a time, which Free is then
-	// the rest of.
+	// NotOwner says that the daemon is not the owner, or has owned the tenant for too short a time.
 	NotOwner bool
 }
 
@@ -104,7 +82,4 @@
 	OwnershipBegun
 	ContactLost
 	ContactRegained
-	// ProofLost: the list of daemons is not provably recent.
-	ProofLost
-	ProofRegained
 )
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -57,8 +56,6 @@
 	// reached the VM of the daemon.
 	endedAt time.Duration
 	reached bool
-	// stoppedAt is when the daemon had first answered with the same list, or ended, after a change of the list.
-	stoppedAt time.Duration
 }
 
 // Node is the part of one daemon. It is not safe for concurrent use.
@@ -84,28 +81,18 @@
 	met                 bool // there has been a contact
 	// majorityAt is the latest time at which the daemon reached most of those that it asked.
 	majorityAt time.Duration
-	// proven is the latest time of which the list is proven to be that of the store, if proved.
-	proven time.Duration
-	proved bool
-	// proofLost says that the proof has become too old.
-	proofLost bool
-	// earlier are the lists that other daemons may still have, changedAt is when the latest one was replaced, and
-	// unconfirmed are owners by them.
-	earlier     []earlierList
-	changedAt   time.Duration
-	unconfirmed map[string]bool
-	buckets     map[string]*bucket
-	holders     map[string]*holder
-	links       map[string]*link
-	swept       time.Duration
-	events      []Event
+	buckets    map[string]*bucket
+	holders    map[string]*holder
+	links      map[string]*link
+	swept      time.Duration
+	events     []Event
 }
 
 // New returns the part of the daemon with the given name, which starts now. random returns a number from 0 to 1.
 func New(self string, bounds Bounds, random func() float64, now time.Duration) *Node {
 	return &Node{
 		self: self, bounds: bounds, random: random, started: now, from: now, contact: now, confirmFrom: now + 1, ticked: now, majorityAt: now, inContact: true,
-		buckets: make(map[string]*bucket), holders: make(map[string]*holder), links: make(map[string]*link), unconfirmed: make(map[string]bool),
+		buckets: make(map[string]*bucket), holders: make(map[string]*holder), links: make(map[string]*link),
 	}
 }
 
@@ -121,7 +108,6 @@
 	if len(n.daemons) > 0 {
 		n.from = max(n.from, now+handoverTime)
 	}
-	earlier := n.ring
 	n.most, n.mostUntil = max(n.mostDaemons(now), len(daemons)), now+n.bounds.Window
 	n.daemons, n.known, n.list = daemons, make(map[string]bool, len(daemons)), 0
 	for _, name := range daemons {
@@ -130,7 +116,6 @@
 	}
 	n.ring = rendezvous.New(daemons, xxhash.Sum64String)
 	n.generation++
-	n.unsettle(now, earlier)
 	for tenant := range n.buckets {
 		if n.ring.Lookup(tenant) != n.self {
 			delete(n.buckets, tenant)
@@ -156,7 +141,7 @@
 func (n *Node) Take(now time.Duration, tenant string, l Limit, again bool) Decision {
 	h := n.holder(now, tenant, l)
 	if h == nil {
-		return n.tooMany()
+		return n.unknown()
 	}
 	if !again {
 		h.countRequest(now)
@@ -205,7 +190,7 @@
 func (n *Node) TakeFloor(now time.Duration, tenant string, l Limit) Decision {
 	h := n.holder(now, tenant, l)
 	if h == nil {
-		return n.tooMany()
+		return n.unknown()
 	}
 	if token, ok := h.take(now); ok {
 		return n.granted(now, tenant, h, token)
@@ -223,38 +208,11 @@
 	if h.rank < holders && h.takeFloor(now, n.bounds.Window, n.started, each) {
 		return Decision{Verdict: Floor, Token: Token{tenant: tenant}}
 	}
-	reason, wait := n.unavailable(now, tenant, h)
-	if h.rank < holders {
-		wait = min(wait, h.floorFree(now, n.bounds.Window, n.started, each))
-	}
-	return Decision{Verdict: Unknown, Return: n.spread(max(wait, minReturn)), Reason: reason}
-}
-
-func (n *Node) tooMany() Decision {
-	return Decision{Verdict: Unknown, Return: n.spread(sweepInterval), Reason: ReasonTooMany}
+	return n.unknown()
 }
 
-// unavailable returns why the owner of a tenant can't grant tokens, and the time until it may, or is asked again.
-func (n *Node) unavailable(now time.Duration, tenant string, h *holder) (Reason, time.Duration) {
-	again := unreachableTime
-	if !n.listProven(now) {
-		again = n.bounds.Window // most likely the store is unavailable to all
-	}
-	switch {
-	case h.owner == "":
-		return ReasonNoOwner, unreachableTime
-	case h.owner == n.self && n.mayGrant(now):
-		return ReasonNew, n.beginsIn(now, tenant, h.limit)
-	case h.owner == n.self:
-		return ReasonSuspended, again
-	case now < n.link(h.owner).unreachableUntil:
-		return ReasonUnreachable, n.link(h.owner).unreachableUntil - now
-	case now < h.disownedUntil && now < h.readyAt:
-		return ReasonNew, h.readyAt - now
-	case now < h.disownedUntil:
-		return ReasonSuspended, again
-	}
-	return ReasonUnreachable, unreachableTime
+func (n *Node) unknown() Decision {
+	return Decision{Verdict: Unknown, Return: n.spread(unreachableTime)}
 }
 
 // Return gives a token back whose request has not run.
@@ -281,7 +239,7 @@
 	}
 	// The next caller that is refused here returns when one more token is free, at the latest after a window.
 	ahead := max(h.returnAt-now, h.deniedUntil-now, minReturn)
-	h.returnAt = min(now+ahead+secondsOf(1/n.bounds.fill(h.limit)), now+n.bounds.Window)
+	h.returnAt = min(now+ahead+secondsOf(1/h.limit.Rate), now+n.bounds.Window)
 	return Decision{Verdict: Limited, Return: n.spread(ahead)}
 }
 
@@ -367,7 +325,7 @@
 	for tenant, need := range l.wants {
 		w := Want{Tenant: tenant, Need: need}
 		if h := n.holders[tenant]; h != nil && now-h.countStart < 2*demandInterval {
-			w.Spare = surely(max(h.previousCount, h.count-need))
+			w.Spare = max(h.previousCount, h.count-need)
 		}
 		wants = append(wants, w)
 	}
@@ -376,18 +334,10 @@
 	return wants
 }
 
-// surely returns how many of about as many requests come with near certainty, if they come at random.
-func surely(requests int) int {
-	return max(int(float64(requests)-2*math.Sqrt(float64(requests))), 0)
-}
-
 // Answered records the answer to a question that was sent at a time.
 func (n *Node) Answered(now, sent time.Duration, daemon string, wants []Want, answer Answer) {
 	if answer.List == n.list {
 		n.recordContact(now, sent)
-		if sent > n.changedAt {
-			n.recordStopped(now, daemon)
-		}
 	}
 	l := n.link(daemon)
 	l.unreachableUntil, l.endedAt, l.reached = 0, now, true
@@ -406,7 +356,7 @@
 		}
 		switch {
 		case g.NotOwner:
-			h.disownedUntil, h.readyAt = now+disownedTime, now+g.Free
+			h.disownedUntil = now + disownedTime
 		case g.Tokens < w.Need:
 			n.denied(now, h, g)
 		}
@@ -418,9 +368,6 @@
 func (n *Node) Failed(now time.Duration, daemon string, ended bool) {
 	l := n.link(daemon)
 	l.unreachableUntil, l.endedAt, l.reached = now+unreachableTime, now, ended
-	if ended {
-		n.recordStopped(now, daemon)
-	}
 	if !l.doubtful {
 		l.doubtful = true
 		n.event(Event{Kind: OwnerUnreachable, Subject: daemon})
@@ -449,27 +396,22 @@
 		if len(n.buckets) >= maxTenants {
 			return Grant{NotOwner: true}
 		}
-		begin, may := n.begin(now, w.Tenant)
-		if !may {
-			return Grant{NotOwner: true, Free: n.beginsIn(now, w.Tenant, l)}
-		}
-		b = newBucket(n.bounds, l, begin)
+		b = &bucket{limit: l, capacity: n.bounds.capacity(l), at: n.from}
 		n.buckets[w.Tenant] = b
 		if n.from != n.started {
 			n.event(Event{Kind: OwnershipBegun, Subject: w.Tenant, Limit: l})
 		}
 	}
-	b.settle(now, l)
+	b.settle(now, l, n.bounds.capacity(l))
 	if now < b.at {
-		return Grant{NotOwner: true, Free: b.at - now}
+		return Grant{NotOwner: true}
 	}
-	return b.grant(now, min(max(w.Need, 0), maxTokens), min(max(w.Spare, 0), maxTokens))
+	return b.grant(now, min(max(w.Need, 0), maxTokens), min(max(w.Spare, 0), maxTokens), n.bounds.Window)
 }
 
 // Tick drops the state of tenants without requests. It is called every 100 ms or more often.
 func (n *Node) Tick(now time.Duration) {
 	n.inContactAt(now)
-	n.noteProof(now)
 	if now-n.swept < sweepInterval {
 		return
 	}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -172,7 +172,6 @@
 	config         *StoredItem
 	refusedVersion uint64
 	freshness      *freshness.Keeper
-	listFreshness  *freshness.Keeper // of the list of upstreams, as owners of tenants need it
 	storeConfig    storeConfig
 
 	// applyMu is held while an update is applied to the replica and put in force, so that updates
@@ -229,9 +228,9 @@
 		callGraph: callgraph.New(), callMeter: loadshed.NewMeter(), dependence: loadshed.NewDependence(), gate: loadshed.NewGate(opts.Rand.Float64), callRoutes: make(map[string]bool),
 		splitter: routing.Splitter{Rand: opts.Rand},
 		sources:  watchers.New(watchers.Daemon{Address: settings.BackendAddress, Zone: settings.Zone}), changed: make(chan struct{}),
-		freshness: freshness.New(settings.MaxConfigAge), listFreshness: freshness.New(settings.listAge()),
-		future:  make(map[string]StoredItem),
-		waiting: make(map[uint64]*localAttempt), peers: make(map[string]*peer), wakeSync: make(chan struct{}, 1),
+		freshness: freshness.New(settings.MaxConfigAge),
+		future:    make(map[string]StoredItem),
+		waiting:   make(map[uint64]*localAttempt), peers: make(map[string]*peer), wakeSync: make(chan struct{}, 1),
 		crashes: quarantine.New(quarantine.Config{}), wakeReports: make(chan struct{}, 1),
 	}
 	d.grace, d.seeds = settings.Grace, settings.Seeds
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -86,7 +86,6 @@
 	d.apply(reply.Update, "watcher "+source)
 	refused := reply.Config != nil && !d.applyConfig(reply.Config, "watcher "+source)
 	d.renewFromPeer(asked, reply.Proven)
-	d.renewListFromPeer(asked, reply.Listed)
 	if refused {
 		d.pause(refusedConfigPause)
 	}
--- a/mesh/freshness.go
+++ b/mesh/freshness.go
@@ -40,7 +40,7 @@
 
 // instant returns the present instant for proofs, and false if none are kept.
 func (d *Daemon) instant() (freshness.Instant, bool) {
-	if d.settings.MaxConfigAge <= 0 && !d.hasQuotas() {
+	if d.settings.MaxConfigAge <= 0 {
 		return 0, false
 	}
 	now, err := bootTime()
@@ -75,12 +75,15 @@
 // agingProof reports whether peers are to be asked for a proof. d.mu is held.
 func (d *Daemon) agingProof() bool {
 	now, ok := d.instant()
-	return ok && d.hasTenants() && (d.freshness.Aging(now) || d.settings.MaxConfigAge <= 0 && d.listFreshness.Aging(now))
+	return ok && d.hasTenants() && d.freshness.Aging(now)
 }
 
 // followTime returns how long a source may keep a request of this daemon waiting.
 func (d *Daemon) followTime() time.Duration {
-	return d.proofWait(followWait)
+	if !d.hasTenants() {
+		return followWait
+	}
+	return d.freshness.Wait(followWait)
 }
 
 // noteStoreConfig records the configuration that the replica holds, after it was put in force. One that is
@@ -113,7 +116,6 @@
 	if !base.proves || update.At.Before(base.at) || !update.Whole && !isComplete(update) {
 		return
 	}
-	d.renewListFromStore(base, update.At)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if at := d.replica.At(); d.config == nil || at.Era != update.At.Era || at.Before(update.At) {
@@ -177,7 +179,7 @@
 
 // checkFreshness logs when the configuration begins or ceases to be provably recent.
 func (d *Daemon) checkFreshness() {
-	if !d.freshness.Enabled() || !d.hasTenants() {
+	if !d.hasTenants() {
 		return
 	}
 	now, ok := d.instant()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -184,8 +184,6 @@
 	Config *StoredItem
 	// Proven is the daemon's latest proof that the configuration is the newest; nil for none.
 	Proven *freshness.Statement
-	// Listed is the daemon's latest proof that its list of upstreams is that of the store; nil for none.
-	Listed *ListStatement
 }
 
 // FollowArgs requests the changes after a state and waits for them up to Wait.
@@ -211,8 +209,6 @@
 	Clock int64
 	// Proven is the daemon's latest proof that the configuration is the newest; nil for none.
 	Proven *freshness.Statement
-	// Listed is the daemon's latest proof that its list of upstreams is that of the store; nil for none.
-	Listed *ListStatement
 }
 
 // ReportsArgs carries crash reports. With Exchange set, the peer's reports are requested.
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -263,7 +263,7 @@
 	reply.Clock = c.daemon.statedTime()
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.Proven, reply.Listed = c.daemon.stateProof(arrival), c.daemon.stateListProof(arrival)
+	reply.Proven = c.daemon.stateProof(arrival)
 	return nil
 }
 
@@ -273,6 +273,6 @@
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
 	reply.Update, reply.Config = c.daemon.changesSince(args.Since)
-	reply.Proven, reply.Listed = c.daemon.stateProof(arrival), c.daemon.stateListProof(arrival)
+	reply.Proven = c.daemon.stateProof(arrival)
 	return nil
 }
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -19,7 +18,7 @@
 func (d *Daemon) newQuotas() *quotas.Controller {
 	return quotas.New(quotas.Options{
 		Self: d.settings.BackendAddress, Log: d.log, Go: d.workers.Go, Context: d.ctx,
-		Bounds: quota.Bounds{Window: d.settings.QuotaWindow, Overshoot: d.settings.QuotaOvershoot, Slack: d.settings.QuotaSlack, ListAge: d.settings.listAge()},
+		Bounds: quota.Bounds{Window: d.settings.QuotaWindow, Overshoot: d.settings.QuotaOvershoot, Slack: d.settings.QuotaSlack},
 		Count:  func(result string) { d.metrics.Count(metricQuotaQuestions, result) },
 		Ask: func(ctx context.Context, daemon string, wants []quota.Want) (quota.Answer, error) {
 			p := d.peer(d.peerAddress(daemon))
@@ -51,31 +50,21 @@
 	return nil
 }
 
-// tickQuotas passes a changed list of daemons on, and the proof of it. d.mu is held.
+// tickQuotas passes a changed list of daemons on. d.mu is held.
 func (d *Daemon) tickQuotas() {
-	used := d.hasQuotas()
+	table := d.table()
+	used := table != nil && table.Config().Tenants != nil && table.Config().Tenants.Limited()
 	d.quotas.SetUsed(used)
-	if !used {
+	if !used || !d.listedChanged {
 		return
 	}
-	if d.listedChanged {
-		d.listedChanged = false
-		d.quotas.SetDaemons(d.backendAddresses())
-	}
-	// The list is not that of the store while it holds upstreams that the store does not list.
-	if proof, way := d.listFreshness.Latest(); way != "" && !d.dir.Unlisted() {
-		d.quotas.SetProven(time.Duration(proof.At))
-	}
-}
-
-// backendAddresses returns the addresses of all known upstreams. d.mu is held.
-func (d *Daemon) backendAddresses() []string {
+	d.listedChanged = false
 	all := d.dir.All()
 	addresses := make([]string, len(all))
 	for i, u := range all {
 		addresses[i] = u.Address
 	}
-	return addresses
+	d.quotas.SetDaemons(addresses)
 }
 
 // takeToken requests a token for the request if its tenant has a quota. It returns false if the request is refused.
@@ -85,14 +74,10 @@
 	}
 	d := c.daemon
 	r := d.quotas.Take(c.r.Context(), c.tenant.Name, limitOf(c.tenant))
-	decision, code := string(r.Outcome), resultcode.QuotaExceeded
-	if r.Outcome == quotas.OutcomeUnknown {
-		decision, code = string(r.Reason), resultcode.QuotaUnavailable
-	}
-	d.metrics.Count(metricQuotaDecisions, decision)
+	d.metrics.Count(metricQuotaDecisions, string(r.Outcome))
 	if !r.Allowed() {
-		d.metrics.Count(metricQuotaRefusals, c.tenant.Name, decision)
-		c.refuse(code, r.Return, decision)
+		d.metrics.Count(metricQuotaRefusals, c.tenant.Name, string(r.Outcome))
+		c.refuse(resultcode.QuotaExceeded, r.Return, string(r.Outcome))
 		return false
 	}
 	c.token, c.hasToken = r.Token, true
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -139,7 +139,10 @@
 	defer d.mu.Unlock()
 	spread := 2 * (time.Duration(watchers.Count(d.fleet()))*watchRenewInterval - minWatchTime)
 	wait := minWatchTime + time.Duration(d.opts.Rand.Float64()*float64(max(spread, minWatchTime)))
-	return min(d.proofWait(wait), maxWatchTime)
+	if d.hasTenants() {
+		wait = d.freshness.Wait(wait)
+	}
+	return min(wait, maxWatchTime)
 }
 
 // readStore reads the complete state, or the changes after the position of the replica. With
@@ -450,7 +453,6 @@
 	changes := d.apply(reply.Update, "peer "+address)
 	configured := d.applyConfig(reply.Config, "peer "+address)
 	d.renewFromPeer(asked, reply.Proven)
-	d.renewListFromPeer(asked, reply.Listed)
 	if configured || changes > 0 {
 		d.notifyPeers()
 	}
--- a/quotas/controller.go
+++ b/quotas/controller.go
@@ -49,9 +49,9 @@
 // Outcomes.
 const (
 	OutcomeGranted Outcome = "granted"
-	OutcomeFloor   Outcome = "floor"       // while the owner did not answer
-	OutcomeLimited Outcome = "quota"       // refused: the quota is used up
-	OutcomeUnknown Outcome = "unavailable" // refused: the owner can't grant and the floor is used up; see Result.Reason
+	OutcomeFloor   Outcome = "floor"             // while the owner did not answer
+	OutcomeLimited Outcome = "quota"             // refused: the quota is used up
+	OutcomeUnknown Outcome = "owner_unreachable" // refused: the owner does not answer and the floor is used up
 )
 
 // Result answers a request for a token. The request may run if the outcome is OutcomeGranted or OutcomeFloor.
@@ -60,8 +60,6 @@
 	Token   quota.Token
 	// Return is the time after which a refused caller may return.
 	Return time.Duration
-	// Reason is that of OutcomeUnknown.
-	Reason quota.Reason
 }
 
 // Allowed reports whether the request may run.
@@ -135,13 +133,6 @@
 	}
 }
 
-// SetProven records that the list of daemons was that of the store at a time.
-func (c *Controller) SetProven(at time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.node.SetProven(c.opts.Now(), at)
-}
-
 // Take requests a token for a request of a tenant. It returns when ctx ends, at the latest.
 func (c *Controller) Take(ctx context.Context, tenant string, limit quota.Limit) Result {
 	decision, done := c.take(tenant, limit, false)
@@ -162,7 +153,7 @@
 			}
 			continue
 		case <-ctx.Done():
-			return result(quota.Decision{Verdict: quota.Unknown, Reason: quota.ReasonUnreachable})
+			return result(quota.Decision{Verdict: quota.Unknown})
 		case <-timer.C:
 		}
 		last := decision
@@ -204,7 +195,7 @@
 	case quota.Limited:
 		outcome = OutcomeLimited
 	}
-	return Result{Outcome: outcome, Token: d.Token, Return: d.Return, Reason: d.Reason}
+	return Result{Outcome: outcome, Token: d.Token, Return: d.Return}
 }
 
 // Return gives the token of a request back that has not run.
@@ -323,11 +314,7 @@
 		case quota.ContactLost:
 			c.opts.Log.Info(eventContactLost, zap.String("reason", "no other daemon with the same list of daemons has answered"))
 		case quota.ContactRegained:
-			c.opts.Log.Info(eventContactRegained, zap.String("reason", "another daemon with the same list of daemons has answered"))
-		case quota.ProofLost:
-			c.opts.Log.Warn(eventContactLost, zap.String("reason", "the list of daemons is not provably recent"))
-		case quota.ProofRegained:
-			c.opts.Log.Info(eventContactRegained, zap.String("reason", "the list of daemons is provably recent"))
+			c.opts.Log.Info(eventContactRegained)
 		}
 	}
 }
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -70,7 +70,6 @@
 	UnknownKey            Code = 227
 	QuotaExceeded         Code = 228
 	ConfigurationStale    Code = 229
-	QuotaUnavailable      Code = 230
 )
 
 // Codes of kind OutcomeUnknown.
@@ -138,7 +137,6 @@
 	{UnknownKey, "unknown_key", NotRun, http.StatusUnauthorized, "The request carries no key of a tenant of the configuration."},
 	{QuotaExceeded, "quota_exceeded", NotRun, http.StatusTooManyRequests, "The tenant has used its quota."},
 	{ConfigurationStale, "configuration_stale", NotRun, http.StatusServiceUnavailable, "The daemon can't prove that its configuration is recent enough for a request with a key."},
-	{QuotaUnavailable, "quota_unavailable", NotRun, http.StatusServiceUnavailable, "The daemon that keeps the tenant's quota can't grant it, and the share of this daemon is used up."},
 
 	{AttemptLost, "attempt_lost", OutcomeUnknown, http.StatusBadGateway, "The connection broke after the call was sent."},
 	{DeadlineExceeded, "deadline_exceeded", OutcomeUnknown, http.StatusGatewayTimeout, "The deadline passed after the call was sent."},
