Demand of a rate-limited server without waiting requests is not an overload

Cause: a server whose backend states 20 requests/s was offered three requests in a row; the work over what the rate does in 0.3 s passed 1, and the gate refused a request that would have started at once.

Change: while nothing waits, the demand is at most what runs, with a rate limit as without. Also, a peer counts as ended only by its latest dial: while a dial was under way, the result of an earlier one was still told.

--- a/core/slots/offered.go
+++ b/core/slots/offered.go
@@ -68,7 +68,7 @@
 		return 0
 	}
 	demand := float64(l.offered.over(now, constant)) / capacity
-	if len(l.queue) == 0 && !l.rate.active() {
+	if len(l.queue) == 0 {
 		return min(demand, float64(len(l.running))/float64(l.limit))
 	}
 	return demand + float64(len(l.queue))*float64(l.averageRun())/capacity
--- a/mesh/peerclient.go
+++ b/mesh/peerclient.go
@@ -121,7 +121,7 @@
 			return nil, errUnreachable
 		}
 	}
-	p.dialed = make(chan struct{})
+	p.dialed, p.ended = make(chan struct{}), false
 	p.mu.Unlock()
 	link, err := p.dial()
 	p.mu.Lock()
