--- a/core/loadshed/demand.go
+++ b/core/loadshed/demand.go
@@ -1,5 +1,10 @@
 package loadshed
 
+import (
+	"maps"
+	"slices"
+)
+
 const (
 	// targetDemand is the demand for a service that is aimed at where nothing is refused. Upstreams
 	// differ, so that some have queues before all are in use. An entry aims at more the more it refuses,
@@ -114,7 +119,7 @@
 		d.weight[rank] = weight * rankDecay
 	}
 	remaining := d.share * total
-	for _, rank := range ranksDescending(d.weight) {
+	for _, rank := range slices.Backward(slices.Sorted(maps.Keys(d.weight))) {
 		weight := d.weight[rank] / rankDecay
 		d.byRank[rank] = min(remaining/weight, 1-minAdmittedShare)
 		remaining -= d.byRank[rank] * weight
--- a/core/loadshed/gate.go
+++ b/core/loadshed/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -26,6 +25,10 @@
 	// returnGrace is how long reports after the return of a service are ignored. They were made
 	// before, or by daemons that do not know of it yet.
 	returnGrace = time.Second
+	// minRetryAfter is the shortest time after which callers of refused requests may retry, and
+	// retryAfterSpan what is added to it if all are refused.
+	minRetryAfter  = 300 * time.Millisecond
+	retryAfterSpan = 1200 * time.Millisecond
 	// minAdmittedShare is the share of each rank that is always admitted.
 	minAdmittedShare = 0.1
 )
@@ -78,6 +81,13 @@
 	Share   float64
 }
 
+// RetryAfter returns the time after which the caller may retry: later if more is refused, but at the latest after the
+// given time, with which the answer is expected within the objective. It is minRetryAfter at least.
+func (r Refusal) RetryAfter(latest time.Duration) time.Duration {
+	wanted := minRetryAfter + time.Duration(float64(retryAfterSpan)*r.Share)
+	return max(min(wanted, latest), minRetryAfter)
+}
+
 // Admit decides about a new request. It returns nil to admit it.
 func (g *Gate) Admit(now time.Time, kind string, rank int) *Refusal {
 	refusal := Refusal{}
@@ -170,11 +180,3 @@
 	}
 	return refused
 }
-
-// ranksDescending returns the ranks, the least important first.
-func ranksDescending(weights map[int]float64) []int {
-	ranks := slices.Collect(maps.Keys(weights))
-	slices.Sort(ranks)
-	slices.Reverse(ranks)
-	return ranks
-}
--- a/core/loadshed/gate_test.go
+++ b/core/loadshed/gate_test.go
@@ -147,3 +147,13 @@
 		})
 	})
 }
+
+// Guards against callers that are told to return so late that their answer misses its objective.
+func TestRefusedCallersReturnInTime(t *testing.T) {
+	Convey("The time to return grows with the refused share, up to the latest useful one", t, func() {
+		So(Refusal{Share: 0.1}.RetryAfter(2*time.Second), ShouldEqual, 420*time.Millisecond)
+		So(Refusal{Share: 0.9}.RetryAfter(2*time.Second), ShouldEqual, 1380*time.Millisecond)
+		So(Refusal{Share: 0.9}.RetryAfter(800*time.Millisecond), ShouldEqual, 800*time.Millisecond)
+		So(Refusal{Share: 0.9}.RetryAfter(-time.Second), ShouldEqual, minRetryAfter)
+	})
+}
--- a/core/loadshed/meter.go
+++ b/core/loadshed/meter.go
@@ -60,7 +60,8 @@
 // Significant reports whether daemons begin to pass the share on.
 func (s Share) Significant() bool { return s.Blocked > minBlocked || s.Demand > minDemand }
 
-// find returns what a reply states of a service: nothing if it is not overloaded.
+// find returns what a reply states of a service. Without a statement, no call to it was blocked and the demand
+// is not known.
 func find(shares []Share, service string) Share {
 	for _, share := range shares {
 		if share.Service == service {
--- a/core/slots/offered.go
+++ b/core/slots/offered.go
@@ -41,6 +41,12 @@
 	return min(max(constant, minOfferedTime), maxOfferedTime)
 }
 
+// offeredCapacity returns the time constant, and the run time that the slots can do in it.
+func (l *Limiter) offeredCapacity() (constant time.Duration, capacity float64) {
+	constant = l.offeredTime()
+	return constant, l.concurrency() * float64(constant)
+}
+
 // offer records a request that starts, waits or is refused for good. Those that are sent on to another
 // server don't count here.
 func (l *Limiter) offer(now time.Time, kind string, run time.Duration) {
@@ -62,11 +68,10 @@
 // demand is at most what runs. It is 0 for a kind that asks for little of its equal share: refusing it would give
 // hardly any room to others.
 func (l *Limiter) DemandFor(now time.Time, kind string) float64 {
-	constant := l.offeredTime()
-	capacity := l.concurrency() * float64(constant)
-	if l.isSmallKind(now, kind, capacity, constant) {
+	if l.isSmallKind(now, kind) {
 		return 0
 	}
+	constant, capacity := l.offeredCapacity()
 	demand := float64(l.offered.over(now, constant)) / capacity
 	if len(l.queue) == 0 {
 		return min(demand, float64(len(l.running))/float64(l.limit))
@@ -75,18 +80,18 @@
 }
 
 // isSmallKind reports whether a kind asks for less than smallKindShare of an equal share among several kinds.
-func (l *Limiter) isSmallKind(now time.Time, kind string, capacity float64, constant time.Duration) bool {
+func (l *Limiter) isSmallKind(now time.Time, kind string) bool {
 	w := l.offeredByKind[kind]
 	if w == nil || l.sharingKinds < 2 || !l.smallKindsFit {
 		return false
 	}
+	constant, capacity := l.offeredCapacity()
 	return float64(w.over(now, constant)) < smallKindShare*capacity/float64(l.sharingKinds)
 }
 
 // countKinds counts the kinds that share the slots, and drops those that have not been offered for long.
 func (l *Limiter) countKinds(now time.Time) {
-	constant := l.offeredTime()
-	capacity := l.concurrency() * float64(constant)
+	constant, capacity := l.offeredCapacity()
 	sharing := 0
 	for kind, w := range l.offeredByKind {
 		switch offered := w.over(now, constant); {
--- a/mesh/loadshed.go
+++ b/mesh/loadshed.go
@@ -11,14 +11,6 @@
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
-const (
-	// minShedRetryAfter and shedRetryAfterSpan determine the time after which a caller may
-	// retry a request that the gate refused: minShedRetryAfter, plus shedRetryAfterSpan times
-	// the share of requests that is refused, early enough for the objective.
-	minShedRetryAfter  = 300 * time.Millisecond
-	shedRetryAfterSpan = 1200 * time.Millisecond
-)
-
 // admitNew chooses the service of a new request and decides whether the request is admitted.
 // Calls of the local backend server always are, because the work of the run that makes them
 // would be lost otherwise.
@@ -36,17 +28,14 @@
 func (c *callerRequest) refuseShed(service string, refusal *loadshed.Refusal) {
 	c.daemon.log.Info(eventNotAdmitted, zap.String("id", c.head.ID), zap.String("service", service),
 		zap.String("blocked", refusal.Service), zap.Float64("share", refusal.Share), zap.Int("rank", c.rank()))
-	c.refuse(resultcode.ShedEarly, c.daemon.shedRetryAfter(c.route, refusal.Share), "blocked_below")
+	c.refuse(resultcode.ShedEarly, refusal.RetryAfter(c.daemon.objectiveSlack(c.route)), "blocked_below")
 }
 
-// shedRetryAfter returns when the caller of a refused request may retry: later if more is refused, but in time for
-// the objective.
-func (d *Daemon) shedRetryAfter(route *routing.Route, share float64) time.Duration {
+// objectiveSlack returns the time until a request that arrives now must be sent to be answered within its objective.
+func (d *Daemon) objectiveSlack(route *routing.Route) time.Duration {
 	d.mu.Lock()
-	latest := route.LatencyObjective - d.dispatcher.AverageLatency(route.Name)
-	d.mu.Unlock()
-	wanted := minShedRetryAfter + time.Duration(float64(shedRetryAfterSpan)*share)
-	return max(min(wanted, latest), minShedRetryAfter)
+	defer d.mu.Unlock()
+	return route.LatencyObjective - d.dispatcher.AverageLatency(route.Name)
 }
 
 // recordOverload records whether requests of the route are calls, and which services are overloaded, as a
