--- /dev/null
+++ b/review/rig2/main.go
@@ -0,0 +1,15 @@
+package main
+
+import "os"
+
+func main() {
+	if len(os.Args) < 5 {
+		fail2("usage: rig2 CASE BINARY RECORD TROUBLE")
+	}
+	binary, record, trouble := os.Args[2], os.Args[3], os.Args[4] != "0"
+	switch os.Args[1] {
+	case "late-calls":
+		lateCalls(binary, record, trouble)
+	}
+	fail2("unknown case %q", os.Args[1])
+}
