--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -8,6 +8,8 @@
 	}
 	binary, record, trouble := os.Args[2], os.Args[3], os.Args[4] != "0"
 	switch os.Args[1] {
+	case "behind-broken":
+		behindBroken(binary, record, trouble)
 	case "late-calls":
 		lateCalls(binary, record, trouble)
 	}
