--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,4 +2,4 @@
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/hawthornpoint ] && [ -x target/review-2/rig2 ] || exit 2
-exec target/review-2/rig2 frozen-rest target/hawthornpoint review/8/record.txt "${TROUBLE:-1}"
+exec target/review-2/rig2 late-calls target/hawthornpoint review/8/record.txt "${TROUBLE:-1}"
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -12,6 +12,8 @@
 		behindBroken(binary, record, trouble)
 	case "frozen-rest":
 		frozenRest(binary, record, trouble)
+	case "two-owners":
+		twoOwners(binary, record, trouble)
 	case "late-calls":
 		lateCalls(binary, record, trouble)
 	}
--- a/review/rig2/platform.go
+++ b/review/rig2/platform.go
@@ -38,7 +38,6 @@
 	first   int64 // history after this revision is kept
 	changed chan struct{}
 	addr    string
-	fault   string // "" for none, "silent" or "busy"
 }
 
 func newStore(addr string) *store {
@@ -73,26 +72,7 @@
 	s.changed = make(chan struct{})
 	return s.rev
 }
-func (s *store) setFault(f string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	f := s.fault
-	s.mu.Unlock()
-	switch f {
-	case "silent":
-		<-r.Context().Done()
-		return
-	case "busy":
-		w.WriteHeader(503)
-		return
-	}
 	w.Header().Set("Content-Type", "application/json")
 	q := r.URL.Query()
 	prefix := q.Get("prefix")
@@ -131,7 +111,7 @@
 		deadline := time.After(time.Duration(ms) * time.Millisecond)
 		for {
 			s.mu.Lock()
-			ch, rev, first, fault := s.changed, s.rev, s.first, s.fault
+			ch, rev, first := s.changed, s.rev, s.first
 			var ev []item
 			for _, e := range s.events {
 				if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
@@ -139,10 +119,6 @@
 				}
 			}
 			s.mu.Unlock()
-			if fault == "silent" {
-				<-r.Context().Done()
-				return
-			}
 			if after < first {
 				w.WriteHeader(410)
 				return
@@ -214,7 +190,6 @@
 	cmd                     *exec.Cmd
 	done                    chan struct{}
 	log                     *os.File
-	inboundIP               string
 }
 
 type ports struct{ app, inbound, outbound, ready, admin, metrics int }
@@ -227,16 +202,12 @@
 	for k, x := range v.bounds {
 		b[k] = x
 	}
-	in := v.inboundIP
-	if in == "" {
-		in = v.ip
-	}
 	a := func(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
 	s := map[string]any{
 		"self": map[string]any{"node": v.name, "role": "sidecar", "machineClass": "sidecar", "serves": []string{"sidecar"}, "ip": v.ip, "zone": v.zone, "region": "r", "countsAsLoss": false, "bootstrap": true, "dataDir": nil,
 			"limits":     map[string]any{"cpuShare": 0.64, "cpuCores": 1, "memoryMb": v.memoryMb, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 			"appAddress": a(v.p.app), "service": v.service},
-		"network":  map[string]any{"listen": map[string]any{"inbound": fmt.Sprintf("%s:%d", in, v.p.inbound), "outbound": a(v.p.outbound), "ready": a(v.p.ready), "admin": a(v.p.admin)}, "internalPorts": []int{7620, 7635}, "seeds": v.seeds, "zones": map[string]string{v.zone: "r"}},
+		"network":  map[string]any{"listen": map[string]any{"inbound": a(v.p.inbound), "outbound": a(v.p.outbound), "ready": a(v.p.ready), "admin": a(v.p.admin)}, "internalPorts": []int{7620, 7635}, "seeds": v.seeds, "zones": map[string]string{v.zone: "r"}},
 		"platform": map[string]any{"discovery": "platform", "entry": "static", "heartbeatS": 1.5, "platform": map[string]any{"address": v.store, "form": "read", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinS": 1}},
 		"terms":    map[string]any{"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "pressure", "platform"}, "tolerate": map[string]any{"machines": 2, "zones": 0, "regions": 0}, "bounds": b},
 	}
