An answer without a length is complete only if its connection was closed in order

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the system reports the failure of a socket to one call. If the goroutine that writes the request's body asks first, it gets ECONNRESET, and the goroutine that reads the answer gets what has arrived and then a plain end of file, which is the regular end of an answer without a length. Both data paths read such answers: mesh (http.ReadResponse) and daemon (http.Transport, which closes the connection after a failed write, but may read the end of file before that).

Change: internal/connend. Reads and writes of connections to backend servers and peers go through a Conn. It keeps the failure that a write is told of, and Read returns it in place of io.EOF. A write that is under way when the end of file is read is ended and waited for, since it may have been told of the failure and not have returned yet. EPIPE is no failure: Linux reports a reset as EPIPE if the other side's FIN had arrived before it, so the answer had ended.

Why it works: only the reader and the writer ask the socket during an exchange. If neither was told of a failure when the reader has seen the end, the end was a FIN. The other callers of SO_ERROR and recv (limitReading, openAndEmpty, awaitReadable) ask before or after an exchange and close the connection when they are told of a failure.

An answer that has not begun to reach the caller gives 502, one that has begun is cut; neither is sent again unless the request may run twice. The log line has the reason; it is counted as failed_end, and as answer_invalid by the daemon with the product's own interface.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornpoint/hawthornpoint/core/membership"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
 	"github.com/hawthornpoint/hawthornpoint/exchange"
+	"github.com/hawthornpoint/hawthornpoint/internal/answercheck"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
 	"github.com/hawthornpoint/hawthornpoint/internal/workgroup"
 	"github.com/hawthornpoint/hawthornpoint/operator"
@@ -73,8 +74,8 @@
 	calls map[uuid.UUID]*callSignals
 	rand  *rand.Rand
 
-	peers     *http.Transport
-	backend   *http.Transport
+	peers     *answercheck.Transport
+	backend   *answercheck.Transport
 	platform  *http.Transport
 	control   *exchange.Client
 	exchange  *exchange.Server
@@ -146,14 +147,14 @@
 	idleConnectionTimeout = 90 * time.Second
 )
 
-func (d *Daemon) newTransport(idlePerHost int) *http.Transport {
-	return &http.Transport{
+func (d *Daemon) newTransport(idlePerHost int) *answercheck.Transport {
+	return answercheck.NewTransport(&http.Transport{
 		DialContext:            d.opts.Network.DialContext,
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleConnectionTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: headlimit.DefaultBytes,
-	}
+	}, d.invalidAnswer)
 }
 
 // Start opens the listeners and starts serving. Calls are accepted once a configuration
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -44,6 +44,12 @@
 	}
 }
 
+// invalidAnswer counts and logs an answer of a backend server or of a peer that is broken and not passed on as a complete one.
+func (d *Daemon) invalidAnswer(address string, err error) {
+	d.counters.Event(operator.EventAnswerInvalid)
+	d.log.Warn("invalid answer", zap.String("address", address), zap.String("error", err.Error()))
+}
+
 // onViolation counts and logs a violated invariant, and panics if PanicOnViolation is
 // set. d.mu must be held.
 func (d *Daemon) onViolation(v node.Violation) {
--- a/daemon/path_bench_test.go
+++ b/daemon/path_bench_test.go
@@ -35,7 +35,7 @@
 
 func (p fixedVMs) Fetch(context.Context) ([]membership.Record, error) { return p.records, nil }
 
-func freeAddress(b *testing.B) string {
+func freeAddress(b testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -44,7 +44,7 @@
 	return l.Addr().String()
 }
 
-func benchSettings(b *testing.B, service, backend string) settings.Settings {
+func benchSettings(b testing.TB, service, backend string) settings.Settings {
 	set := *settings.Default()
 	set.Name, set.Service, set.Zone, set.Region, set.Backend = service+"-a", service, "z1", "r1", backend
 	set.ClockSkewMS = 1
@@ -63,11 +63,17 @@
 		_, _ = io.WriteString(w, "17 m of cloth\n")
 	}))
 	b.Cleanup(backend.Close)
+	return "http://" + startPair(b, backend.Listener.Addr().String(), nil) + "/stock"
+}
+
+// startPair starts the daemons of an order and of a stock upstream with the backend server at an address, and returns the
+// address of the order daemon for callers. network may be nil.
+func startPair(b testing.TB, backend string, network daemon.Network) string {
 	platform := new(fixedPlatform)
 	conf := &config.Config{Version: 1}
 	var allSettings []settings.Settings
 	for _, service := range []string{"order", "stock"} {
-		set := benchSettings(b, service, backend.Listener.Addr().String())
+		set := benchSettings(b, service, backend)
 		allSettings = append(allSettings, set)
 		platform.records = append(platform.records, membership.Record{Name: set.Name, Service: service, State: membership.Live,
 			PeerAddress: set.Listeners.Peers, ControlAddress: set.Listeners.Control, Zone: "z1", Region: "r1"})
@@ -83,7 +89,7 @@
 		b.Fatal(err)
 	}
 	for _, set := range allSettings {
-		d := daemon.New(daemon.Options{Settings: set, Configs: fixedConfigs{platform}, VMs: fixedVMs{platform}})
+		d := daemon.New(daemon.Options{Settings: set, Network: network, Configs: fixedConfigs{platform}, VMs: fixedVMs{platform}})
 		if err := d.Start(); err != nil {
 			b.Fatal(err)
 		}
@@ -93,7 +99,7 @@
 		}
 	}
 	time.Sleep(50 * time.Millisecond) // keys created less than twice the clock skew after the start are refused
-	return "http://" + allSettings[0].Listeners.Callers + "/stock"
+	return allSettings[0].Listeners.Callers
 }
 
 func benchPath(b *testing.B, send func(*http.Client, string) (*http.Response, error)) {
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hawthornpoint/hawthornpoint/core/membudget"
+	"github.com/hawthornpoint/hawthornpoint/internal/connend"
 	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
 	"github.com/hawthornpoint/hawthornpoint/internal/sockread"
@@ -72,8 +73,9 @@
 
 type backendConn struct {
 	net.Conn
-	heads  *headlimit.Reader
-	reader *bufio.Reader // of heads
+	stream *connend.Conn     // reads and writes Conn
+	heads  *headlimit.Reader // of stream
+	reader *bufio.Reader     // of heads
 	// expires is the time from which the connection is not used again.
 	expires time.Time
 	// readsLate says that lateReadTimeout holds, for a body that the backend server may read late.
@@ -148,7 +150,7 @@
 		return nil, true, err
 	}
 	if err := ex.readHeader(req); err != nil {
-		ex.abort()
+		ex.fail(err)
 		return nil, true, err
 	}
 	return ex, true, nil
@@ -156,7 +158,7 @@
 
 func (ex *exchange) send(req *http.Request) error {
 	if req.ContentLength >= 0 && req.ContentLength <= smallBodyBytes {
-		return req.Write(ex.conn)
+		return req.Write(ex.conn.stream)
 	}
 	if ex.conn.allowLateReading() != nil {
 		ex.backend.count("limit_kept")
@@ -170,7 +172,7 @@
 				ex.writeDone <- errPanicked
 			}
 		}()
-		ex.writeDone <- req.Write(ex.conn)
+		ex.writeDone <- req.Write(ex.conn.stream)
 	}()
 	return nil
 }
@@ -227,6 +229,14 @@
 	_ = ex.conn.Close()
 }
 
+// fail ends an exchange whose answer could not be read.
+func (ex *exchange) fail(err error) {
+	if errors.Is(err, connend.ErrFailed) {
+		ex.backend.count("failed_end")
+	}
+	ex.abort()
+}
+
 // finish ends an exchange whose answer was read to its end, and keeps the connection if it can
 // be used again.
 func (ex *exchange) finish() {
@@ -313,8 +323,10 @@
 		return nil, errors.Wrap(errBackendDown, err.Error())
 	}
 	b.count("opened")
-	heads := headlimit.NewReader(raw)
-	return &backendConn{Conn: raw, heads: heads, reader: bufio.NewReaderSize(heads, 4<<10), expires: time.Now().Add(defaultIdleTimeout), release: release}, nil
+	stream := connend.New(raw)
+	heads := headlimit.NewReader(stream)
+	return &backendConn{Conn: raw, stream: stream, heads: heads, reader: bufio.NewReaderSize(heads, 4<<10),
+		expires: time.Now().Add(defaultIdleTimeout), release: release}, nil
 }
 
 func (b *backend) takeIdle() *backendConn {
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -266,7 +266,7 @@
 func (d *Daemon) readAnswer(ctx context.Context, a *localAttempt, ex *exchange, started time.Time) Reply {
 	head, err := d.matchAnswer(a, ex)
 	if err != nil {
-		ex.abort()
+		ex.fail(err)
 		return d.replyWithoutAnswer(ctx, a, true, started, err)
 	}
 	if !head.MatchesRequest {
@@ -276,7 +276,7 @@
 	ex.refusal = head.NotExecuted
 	data, last, err := readPart(ex.response.Body, d.partBytes(a.answerPart), ex.response.ContentLength)
 	if err != nil {
-		ex.abort()
+		ex.fail(err)
 		return d.replyWithoutAnswer(ctx, a, true, started, errors.Wrap(err, "read body"))
 	}
 	elapsed := time.Since(started)
@@ -348,7 +348,7 @@
 		a.partBuffer = data
 	}
 	if err != nil {
-		a.rest.abort()
+		a.rest.fail(err)
 		a.rest = nil
 		a.abandon()
 		return MoreReply{}, errors.Wrap(err, "read body")
--- a/operator/counters.go
+++ b/operator/counters.go
@@ -33,6 +33,7 @@
 	EventJoined            Event = "joined"
 	EventReplayed          Event = "replayed"
 	EventAnswerCut         Event = "answer_cut"
+	EventAnswerInvalid     Event = "answer_invalid"
 	EventWarmFailed        Event = "warm_failed"
 	EventConfigFetchFailed Event = "config_fetch_failed"
 	EventStopCutCalls      Event = "stop_cut_calls"
@@ -45,7 +46,7 @@
 		EventConfigReadFailed, EventConfigFetched, EventListRead, EventListReadFailed, EventExchange,
 		EventExchangeFailed, EventPush, EventPaused, EventLeaving, EventReplaced,
 		EventBackendCrashed, EventEvicted, EventJoined, EventReplayed, EventAnswerCut,
-		EventWarmFailed, EventConfigFetchFailed, EventStopCutCalls,
+		EventAnswerInvalid, EventWarmFailed, EventConfigFetchFailed, EventStopCutCalls,
 	}
 }
 
