Refuse answers in which the name of a field is no token

The caller got it as an answer: the field was left out; where it was one that frames the answer, such as "Transfer-Encoding : chunked", the body was not the upstream's, or the request ended with 504 at its deadline.

Cause: net/http refuses control bytes in names, but takes blanks. It then neither normalises nor recognises such a field. That holds for heads of final and interim answers and for trailers, with http.ReadResponse (mesh) and with http.Transport (daemon). http.Header.Write leaves the field out, so it was not passed on.

Change: internal/answercheck checks names against the grammar (RFC 9110, 5.1: token), in heads, interim heads and trailers, in one place: Head and Body for http.ReadResponse, Transport for http.Transport. The check of the status, which stood in three places, moved there. mesh checks replies of other daemons when the attempt ends, before the dispatcher decides, instead of when the answer is written; a header that can't be decoded is treated alike. The connection is closed. http.Transport has no common limit for interim heads that it hands on, so Transport has one.

Why it works: a name that is a token is one that net/http recognises if it frames the answer.

--- a/daemon/client.go
+++ b/daemon/client.go
@@ -7,12 +7,10 @@
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
-	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 	"github.com/hawthornpoint/hawthornpoint/operator"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
@@ -232,10 +230,6 @@
 		return nil, node.AttemptResult{Code: failureCode(ctx, resultcode.AttemptLost)}
 	}
 	reply, err := callmeta.DecodeReply(resp.Header)
-	if err == nil && !finalstatus.Valid(resp.StatusCode) {
-		err = errors.Errorf("invalid status %d", resp.StatusCode)
-		trace.close()
-	}
 	if err != nil {
 		_ = resp.Body.Close()
 		return nil, node.AttemptResult{Code: resultcode.AttemptLost}
--- a/daemon/message.go
+++ b/daemon/message.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -244,23 +243,16 @@
 	return &idempotency.Answer{Status: a.response.StatusCode, Header: header, Body: a.capturedBody, NotKept: a.captureOverflowed}
 }
 
-// connTrace records the connection that http.Transport obtained. Without one nothing
+// connTrace records whether http.Transport obtained a connection. Without one nothing
 // was sent.
-type connTrace struct{ conn atomic.Pointer[net.Conn] }
+type connTrace struct{ gotConn atomic.Bool }
 
-func (t *connTrace) connected() bool { return t.conn.Load() != nil }
-
-// close closes the connection, so that no request follows an answer that is none.
-func (t *connTrace) close() {
-	if conn := t.conn.Load(); conn != nil {
-		_ = (*conn).Close()
-	}
-}
+func (t *connTrace) connected() bool { return t.gotConn.Load() }
 
 func withConnTrace(ctx context.Context) (context.Context, *connTrace) {
 	t := &connTrace{}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.conn.Store(&info.Conn) },
+		GotConn: func(httptrace.GotConnInfo) { t.gotConn.Store(true) },
 	}), t
 }
 
--- a/daemon/path_bench_test.go
+++ b/daemon/path_bench_test.go
@@ -69,11 +69,20 @@
 // startPair starts the daemons of an order and of a stock upstream with the backend server at an address, and returns the
 // address of the order daemon for callers. network may be nil.
 func startPair(b testing.TB, backend string, network daemon.Network) string {
+	return startDaemons(b, backend, network, "")[0].Addr("callers")
+}
+
+// startDaemons starts the daemons of startPair and returns them, that of the order upstream first. If a peer address is given, it
+// takes the place of the stock daemon.
+func startDaemons(b testing.TB, backend string, network daemon.Network, peer string) (daemons []*daemon.Daemon) {
 	platform := new(fixedPlatform)
 	conf := &config.Config{Version: 1}
 	var allSettings []settings.Settings
 	for _, service := range []string{"order", "stock"} {
 		set := benchSettings(b, service, backend)
+		if service == "stock" && peer != "" {
+			set.Listeners.Peers = peer
+		}
 		allSettings = append(allSettings, set)
 		platform.records = append(platform.records, membership.Record{Name: set.Name, Service: service, State: membership.Live,
 			PeerAddress: set.Listeners.Peers, ControlAddress: set.Listeners.Control, Zone: "z1", Region: "r1"})
@@ -89,17 +98,21 @@
 		b.Fatal(err)
 	}
 	for _, set := range allSettings {
+		if set.Listeners.Peers == peer {
+			continue
+		}
 		d := daemon.New(daemon.Options{Settings: set, Network: network, Configs: fixedConfigs{platform}, VMs: fixedVMs{platform}})
 		if err := d.Start(); err != nil {
 			b.Fatal(err)
 		}
 		b.Cleanup(d.Close)
+		daemons = append(daemons, d)
 		for d.ConfigVersion() == 0 {
 			time.Sleep(time.Millisecond)
 		}
 	}
 	time.Sleep(50 * time.Millisecond) // keys created less than twice the clock skew after the start are refused
-	return allSettings[0].Listeners.Callers
+	return daemons
 }
 
 func benchPath(b *testing.B, send func(*http.Client, string) (*http.Response, error)) {
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -9,7 +9,6 @@
 
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
-	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
@@ -286,12 +285,6 @@
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(callmeta.HeaderRefused) != "":
 		_ = resp.Body.Close()
 		return nil, resultcode.BackendRefused
-	case !finalstatus.Valid(resp.StatusCode):
-		// net/http cannot pass every such answer on; 101 would end HTTP on the
-		// connection.
-		trace.close()
-		_ = resp.Body.Close()
-		return nil, resultcode.AttemptLost
 	}
 	return resp, resultcode.OK
 }
--- a/internal/answercheck/doc.go
+++ b/internal/answercheck/doc.go
@@ -1,6 +1,14 @@
 // Package answercheck finds broken answers of HTTP/1.1 servers that net/http takes for sound ones.
 //
-// An answer without a length ends with its connection. Transport reports one whose connection failed, such as by a reset, as
-// broken also if net/http sees a plain end (see package connend). An answer with a length or in chunks is complete
-// when its last byte has arrived, whatever becomes of the connection.
+//   - A status outside of 100 to 599, or 101, which ends HTTP on its connection.
+//   - A field whose name is no token (RFC 9110, 5.1), in the head of a final or interim answer or in its trailer. net/http takes
+//     blanks in names and then doesn't recognise the field, which may be one that frames the answer.
+//   - An answer without a length whose connection failed, such as by a reset, also if net/http sees a plain end (see package
+//     connend). An answer with a length or in chunks is complete when its last byte has arrived, whatever becomes of the
+//     connection.
+//
+// Head and Body check answers that were read with http.ReadResponse, Transport those of an http.Transport.
+//
+// Limits: lines that continue a field (obs-fold) are joined by net/http, as RFC 9112, 5.2, allows. http.Transport may have used the
+// connection of an invalid answer without a body for another request before it is closed; that request fails then.
 package answercheck
--- a/mesh/answer.go
+++ b/mesh/answer.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hawthornpoint/hawthornpoint/core/membudget"
+	"github.com/hawthornpoint/hawthornpoint/internal/answercheck"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
@@ -16,6 +17,7 @@
 // body, and cancel ends its attempt.
 type pendingAnswer struct {
 	answer *Answer
+	header http.Header // of answer
 	more   func() (MoreReply, error)
 	cancel func()
 }
@@ -31,6 +33,17 @@
 	}
 }
 
+// unpackAnswer decodes and checks the head of an answer, if there is one.
+func (d *Daemon) unpackAnswer(a *pendingAnswer) (err error) {
+	if a == nil || a.answer == nil {
+		return nil
+	}
+	if a.header, err = d.headers.unpack(a.answer.Header); err != nil {
+		return err
+	}
+	return answercheck.Final(a.answer.Status, a.header)
+}
+
 // holdPart counts a part of an answer in the memory budget, until release is called.
 func (c *callerRequest) holdPart(length int) (release func()) {
 	n := int64(length)
@@ -67,20 +80,14 @@
 // connection is closed, so that the answer can't seem complete.
 func (c *callerRequest) deliver(a *pendingAnswer) {
 	h := c.w.Header()
-	received, err := c.daemon.headers.unpack(a.answer.Header)
-	if err != nil {
-		a.drop()
-		c.refuse(resultcode.AttemptLost, 0, "header_code")
-		return
-	}
-	for name, values := range received {
+	for name, values := range a.header {
 		h[name] = values
 	}
 	c.daemon.convention.Restore(c.head.ID, h)
 	if !a.answer.More && c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	}
-	if err = c.writeParts(a); err != nil {
+	if err := c.writeParts(a); err != nil {
 		a.drop()
 		c.daemon.recordOutcome(c, outcomeTruncated)
 		c.daemon.log.Info(eventTruncated, zap.String("id", c.head.ID), errorField(err))
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hawthornpoint/hawthornpoint/core/membudget"
+	"github.com/hawthornpoint/hawthornpoint/internal/answercheck"
 	"github.com/hawthornpoint/hawthornpoint/internal/connend"
 	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
@@ -177,8 +178,8 @@
 	return nil
 }
 
-// readHeader reads the header of the next answer. It skips interim (1xx) answers. A status outside the
-// protocol, or 101, ends the exchange. It returns headlimit.ErrTooLarge when the heads of the exchange
+// readHeader reads the header of the next answer. It skips interim (1xx) answers. An answer whose head is not valid
+// ends the exchange. It returns headlimit.ErrTooLarge when the heads of the exchange
 // exceed maxAnswerHeadBytes or maxAnswerHeadLines, or the interim answers maxInterimAnswers.
 func (ex *exchange) readHeader(req *http.Request) error {
 	defer ex.conn.heads.End()
@@ -189,16 +190,16 @@
 		if ex.conn.heads.Exceeded() {
 			return errors.Wrap(headlimit.ErrTooLarge, "read answer")
 		}
+		if err == nil {
+			err = answercheck.Head(resp.StatusCode, resp.Header)
+		}
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
-		switch {
-		case finalstatus.Valid(resp.StatusCode):
+		if finalstatus.Valid(resp.StatusCode) {
+			resp.Body = answercheck.Body(resp)
 			ex.response = resp
 			return nil
-		case !finalstatus.Interim(resp.StatusCode):
-			ex.backend.count("invalid_status")
-			return errors.Errorf("read answer: invalid status %q", resp.Status)
 		}
 		if ex.interim++; ex.interim > maxInterimAnswers {
 			return errors.Wrapf(headlimit.ErrTooLarge, "read answer: more than %d interim answers", maxInterimAnswers)
@@ -231,8 +232,8 @@
 
 // fail ends an exchange whose answer could not be read.
 func (ex *exchange) fail(err error) {
-	if errors.Is(err, connend.ErrFailed) {
-		ex.backend.count("failed_end")
+	if reason := answercheck.ReasonOf(err); reason != "" {
+		ex.backend.count(string(reason))
 	}
 	ex.abort()
 }
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -17,7 +17,6 @@
 	"github.com/hawthornpoint/hawthornpoint/core/quota"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
 	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
-	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
 	"github.com/hawthornpoint/hawthornpoint/internal/pipeline"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
@@ -270,10 +269,10 @@
 	if result == 0 {
 		result = c.classify(&reply)
 	}
-	if reply.Answer != nil && !finalstatus.Valid(reply.Answer.Status) {
-		// A peer of another version may pass such a status on.
+	if err := c.daemon.unpackAnswer(answer); err != nil {
+		// A peer of another version may pass on what this one refuses.
 		c.daemon.log.Info(eventExchangeFailed, zap.String("id", c.head.ID), zap.String("upstream", step.Upstream.ID),
-			zap.String("reason", "invalid_status"), zap.Int("status", reply.Answer.Status))
+			zap.String("reason", "invalid_answer"), errorField(err))
 		answer.drop()
 		answer, reply.Answer, result = nil, nil, dispatch.Lost
 	}
