Refuse invalid answers of the store, the configuration service and the VM list

What was seen: an answer of the store with "Store-Era : 7" was read as one that states no era, and one with a blank in a name of a trailer field, an interim head or any other field was used; the same for the configuration service and the VM list.

A read with status 000 failed before, and a body that is cut can't be taken for a whole one because it is one JSON value.

Change: they use answercheck.Transport. A read of the store that fails is logged (store lost) and counted already; one of the configuration service or the VM list was counted only, and is now logged with its reason (platform read failed).

--- a/configsource/http.go
+++ b/configsource/http.go
@@ -16,6 +16,7 @@
 
 	"github.com/hawthornpoint/hawthornpoint/config"
 	"github.com/hawthornpoint/hawthornpoint/core/membership"
+	"github.com/hawthornpoint/hawthornpoint/internal/answercheck"
 	"github.com/hawthornpoint/hawthornpoint/internal/headlimit"
 )
 
@@ -49,7 +50,7 @@
 
 func newClient(url string, transport http.RoundTripper, timeout time.Duration) *client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: headlimit.DefaultBytes}
+		transport = answercheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: headlimit.DefaultBytes}, nil)
 	}
 	if timeout <= 0 {
 		timeout = DefaultTimeout
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -193,13 +193,17 @@
 	d.poll(schedule, d.pollVMList)
 }
 
-// poll calls read immediately and then at the times of the schedule.
+// poll calls read immediately and then at the times of the schedule. It logs an error unless the read before failed alike.
 func (d *Daemon) poll(schedule *configsource.Schedule, read func(context.Context) error) {
 	var err error
 	readOnce := func() {
 		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
 		defer cancel()
+		previous := err
 		err = read(ctx)
+		if err != nil && d.ctx.Err() == nil && (previous == nil || err.Error() != previous.Error()) {
+			d.log.Warn("platform read failed", zap.String("error", err.Error()))
+		}
 	}
 	readOnce()
 	d.runPeriodically(func() time.Duration {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,7 +76,7 @@
 
 	peers     *answercheck.Transport
 	backend   *answercheck.Transport
-	platform  *http.Transport
+	platform  *answercheck.Transport
 	control   *exchange.Client
 	exchange  *exchange.Server
 	servers   []*http.Server
@@ -115,7 +115,7 @@
 
 // setDefaults sets the defaults of opts. It returns the transport for reads of the
 // configuration service and the VM list.
-func setDefaults(opts *Options) *http.Transport {
+func setDefaults(opts *Options) *answercheck.Transport {
 	if opts.Network == nil {
 		opts.Network = &tcpNetwork{net.Dialer{Timeout: dialTimeout}}
 	}
@@ -128,7 +128,9 @@
 	if opts.BeforeTick == nil {
 		opts.BeforeTick = func() {}
 	}
-	transport := &http.Transport{DialContext: opts.Network.DialContext, IdleConnTimeout: idleConnectionTimeout, MaxResponseHeaderBytes: headlimit.DefaultBytes}
+	transport := answercheck.NewTransport(&http.Transport{
+		DialContext: opts.Network.DialContext, IdleConnTimeout: idleConnectionTimeout, MaxResponseHeaderBytes: headlimit.DefaultBytes,
+	}, nil)
 	if opts.Configs == nil {
 		opts.Configs = configsource.NewHTTPConfigSource(opts.Settings.Platform.ConfigURL, transport, platformTimeout)
 	}
