Reset the connection of a caller of HTTP/1.0 when an answer breaks off

What callers saw: at the daemon with the product's own interface, an answer of more than 64 KiB that broke off after it had begun reached a caller of HTTP/1.0 as a complete one.

Cause: an answer without a length to a caller of HTTP/1.0 ends with its connection. net/http ends an aborted handler's connection in order, which is the regular end of such an answer. Callers of HTTP/1.1 get chunks without the last one. mesh resets such a connection already.

Change: the handlers of callers, of the backend server's calls and of peers are wrapped; if one aborts the answer to a request of HTTP/1.0, the connection is closed with a reset. The connections of netutil.LimitListener can't be reset, so limitListener takes its place with the semaphore of x/sync.

Ruled out: a length for the caller, which needs one from the upstream.

Evidence: TestAnswerCutForCallerOfHTTP10 in daemon failed at the first of 20 answers that lack one byte; now all 20 are cut, and 20 whole ones are complete, for HTTP/1.0 and HTTP/1.1. The same test in platform, with a local and a remote upstream, held before any change of this commit.

--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/hawthornpoint/hawthornpoint/exchange"
 	"github.com/hawthornpoint/hawthornpoint/operator"
@@ -44,7 +43,7 @@
 	}
 	d.addrs[name] = l.Addr()
 	d.listeners = append(d.listeners, l)
-	return netutil.LimitListener(l, d.set.Limits.MaxConnections), nil
+	return newLimitListener(l, d.set.Limits.MaxConnections), nil
 }
 
 func (d *Daemon) listenHTTP(name, address string, handler http.Handler) error {
@@ -58,7 +57,8 @@
 
 func (d *Daemon) serveHTTP(name string, l net.Listener, handler http.Handler) {
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           resetAborted(handler),
+		ConnContext:       withConn,
 		ReadHeaderTimeout: d.set.Limits.ReadTimeout(),
 		IdleTimeout:       d.set.Limits.IdleTimeout(),
 		MaxHeaderBytes:    d.set.Limits.MaxHeaderBytes,
--- a/daemon/reset_answer_test.go
+++ b/daemon/reset_answer_test.go
@@ -198,3 +198,23 @@
 		})
 	}
 }
+
+// Guards against a long answer that breaks off and looks complete to a caller for whom the end of the connection is that of the answer.
+func TestAnswerCutForCallerOfHTTP10(t *testing.T) {
+	var answer atomic.Pointer[answerFunc]
+	address := startPair(t, serveRaw(t, &answer), nil)
+	long := strings.Repeat("a", 300<<10)
+	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		Convey("An answer that breaks off is not complete, a whole one is: "+proto, t, func() {
+			for _, length := range []int{len(long) + 1, len(long)} {
+				answer.Store(new(answerFunc(func(c *net.TCPConn, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, long)
+				})))
+				for range 20 {
+					So(upload(t, address, proto, writeSized(5)).isSuccess(), ShouldEqual, length == len(long))
+				}
+			}
+		})
+	}
+}
