Tests of broken answers in daemon don't depend on timing or on free ports

The upload now waits for the reset behind its first 128 KiB and ends within the limit. - The stand-in closed connections after answers that did not announce it, so that the next request could be sent on one of them and was lost. It keeps them now where the answer has an end of its own. - Ports that had been free on 127.0.0.1 were taken by other processes. Each daemon has an address of its own now.

What is checked is the same.

--- a/daemon/invalid_answer_test.go
+++ b/daemon/invalid_answer_test.go
@@ -39,9 +39,10 @@
 			return n
 		}
 		send := func(text string) result {
-			answer.Store(new(answerFunc(func(c *net.TCPConn, r *http.Request) {
+			answer.Store(new(answerFunc(func(c *net.TCPConn, r *http.Request) bool {
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = io.WriteString(c, strings.Replace(text, "{result}", resultOf(r), 1))
+				return strings.Contains(text, "Content-Length: ") || strings.Contains(text, "Transfer-Encoding: ")
 			})))
 			return upload(t, daemons[0].Addr("callers"), "HTTP/1.1", writeSized(5))
 		}
--- a/daemon/path_bench_test.go
+++ b/daemon/path_bench_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,22 +37,18 @@
 
 func (p fixedVMs) Fetch(context.Context) ([]membership.Record, error) { return p.records, nil }
 
-func freeAddress(b testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
+// lastHost numbers the loopback addresses of this process, one for each daemon. Ports that are free on an address that others use
+// may be taken before the daemon listens.
+var lastHost atomic.Int32
 
-func benchSettings(b testing.TB, service, backend string) settings.Settings {
+func benchSettings(service, backend string) settings.Settings {
 	set := *settings.Default()
 	set.Name, set.Service, set.Zone, set.Region, set.Backend = service+"-a", service, "z1", "r1", backend
 	set.ClockSkewMS = 1
+	host := int(lastHost.Add(1))
 	l := &set.Listeners
-	for _, a := range []*string{&l.Callers, &l.Peers, &l.Egress, &l.Control, &l.Operator} {
-		*a = freeAddress(b)
+	for role, a := range []*string{&l.Callers, &l.Peers, &l.Egress, &l.Control, &l.Operator} {
+		*a = fmt.Sprintf("127.230.%d.%d:%d", 1+os.Getpid()%250, 1+host%250, 27100+10*(host/250)+role)
 	}
 	return set
 }
@@ -79,7 +77,7 @@
 	conf := &config.Config{Version: 1}
 	var allSettings []settings.Settings
 	for _, service := range []string{"order", "stock"} {
-		set := benchSettings(b, service, backend)
+		set := benchSettings(service, backend)
 		if service == "stock" && peer != "" {
 			set.Listeners.Peers = peer
 		}
--- a/daemon/reset_answer_test.go
+++ b/daemon/reset_answer_test.go
@@ -20,10 +20,10 @@
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
-// answerFunc answers a request whose body has not been read. The connection is closed when it returns.
-type answerFunc func(c *net.TCPConn, r *http.Request)
+// answerFunc answers a request whose body has not been read. It returns false to close the connection.
+type answerFunc func(c *net.TCPConn, r *http.Request) bool
 
-// serveRaw answers the first request of each connection, and returns the address.
+// serveRaw answers requests with the function, and returns its address.
 func serveRaw(t *testing.T, answer *atomic.Pointer[answerFunc]) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,8 +38,11 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					(*answer.Load())(c.(*net.TCPConn), r)
+				for reader := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil || !(*answer.Load())(c.(*net.TCPConn), r) {
+						return
+					}
 				}
 			}()
 		}
@@ -102,12 +105,17 @@
 	return result{resp.StatusCode, reply.Code, string(body), err == nil}
 }
 
-func writeUntilFailure(c net.Conn) error {
-	_, err := io.WriteString(c, "Transfer-Encoding: chunked\r\n\r\n")
-	for chunk := fmt.Sprintf("%x\r\n%s\r\n", 32<<10, strings.Repeat("u", 32<<10)); err == nil; {
-		_, err = io.WriteString(c, chunk)
+// writeAfter sends a part of a body that a daemon passes on while it reads it, and the rest once the channel is closed.
+func writeAfter(reset <-chan struct{}) func(net.Conn) error {
+	return func(c net.Conn) error {
+		part := fmt.Sprintf("%x\r\n%s\r\n", 128<<10, strings.Repeat("u", 128<<10))
+		_, err := io.WriteString(c, "Transfer-Encoding: chunked\r\n\r\n"+part)
+		<-reset
+		if err == nil {
+			_, err = io.WriteString(c, strings.Repeat(part, 5)+"0\r\n\r\n") // within the limit for bodies
+		}
+		return err
 	}
-	return err
 }
 
 func writeSized(size int) func(net.Conn) error {
@@ -132,13 +140,17 @@
 			o.HoldWrite = true
 			network.order.Store(o)
 			var runs atomic.Int32
-			answer.Store(new(answerFunc(func(c *net.TCPConn, _ *http.Request) {
+			reset := make(chan struct{})
+			answer.Store(new(answerFunc(func(c *net.TCPConn, _ *http.Request) bool {
 				runs.Add(1)
 				_, _ = io.WriteString(c, text)
 				<-o.Read
 				_ = c.SetLinger(0)
+				_ = c.Close()
+				close(reset)
+				return false
 			})))
-			r := upload(t, address, "HTTP/1.1", writeUntilFailure)
+			r := upload(t, address, "HTTP/1.1", writeAfter(reset))
 			So(r.isSuccess(), ShouldBeFalse)
 			So(r.code.Kind(), ShouldEqual, resultcode.OutcomeUnknown)
 			So(runs.Load(), ShouldEqual, 1)
@@ -153,11 +165,12 @@
 	address := startPair(t, serveRaw(t, &answer), nil)
 	Convey("No answer is complete whose connection is reset during the upload", t, func() {
 		var answers atomic.Int64
-		answer.Store(new(answerFunc(func(c *net.TCPConn, _ *http.Request) {
+		answer.Store(new(answerFunc(func(c *net.TCPConn, _ *http.Request) bool {
 			n := answers.Add(1)
 			_, _ = io.WriteString(c, headWithoutLength+"a part")
 			_, _ = io.CopyN(io.Discard, c, n%16*32<<10)
 			_ = c.SetLinger(0)
+			return false
 		})))
 		var complete atomic.Int32
 		for range rounds {
@@ -180,15 +193,16 @@
 	var answer atomic.Pointer[answerFunc]
 	address := startPair(t, serveRaw(t, &answer), nil)
 	for name, text := range map[string]string{
-		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
-		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"length":  "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole",
+		"chunked": "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 		"none":    headWithoutLength + "whole",
 	} {
 		Convey("An answer is complete whose server reads the rest of the body: "+name, t, func() {
-			answer.Store(new(answerFunc(func(c *net.TCPConn, _ *http.Request) {
+			answer.Store(new(answerFunc(func(c *net.TCPConn, _ *http.Request) bool {
 				_, _ = io.WriteString(c, text)
 				_ = c.CloseWrite()
 				_, _ = io.Copy(io.Discard, c)
+				return false
 			})))
 			for range 20 {
 				r := upload(t, address, "HTTP/1.1", writeSized(900<<10))
@@ -207,9 +221,10 @@
 	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
 		Convey("An answer that breaks off is not complete, a whole one is: "+proto, t, func() {
 			for _, length := range []int{len(long) + 1, len(long)} {
-				answer.Store(new(answerFunc(func(c *net.TCPConn, r *http.Request) {
+				answer.Store(new(answerFunc(func(c *net.TCPConn, r *http.Request) bool {
 					_, _ = io.Copy(io.Discard, r.Body)
 					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, long)
+					return length == len(long)
 				})))
 				for range 20 {
 					So(upload(t, address, proto, writeSized(5)).isSuccess(), ShouldEqual, length == len(long))
