No request is sent on the connection of an invalid answer once that is refused

What was seen: after an invalid answer without a body, or with an invalid trailer, the next request of the daemon to the same server could fail with attempt_lost, although its server was well.

Cause: http.Transport puts such a connection back into its pool before RoundTrip returns. It was closed then, but a request that came before the Transport had noticed got it all the same.

Change: RoundTrip, and the read of the body that finds the answer broken, return when the Transport has closed the connection itself. It marks a connection as closed before that, so that it does not hand it out any more.

What remains: a request that waits for a connection may get it before the answer can be checked.

Evidence: TestInvalidAnswer sends a sound answer after each invalid one.

--- a/daemon/invalid_answer_test.go
+++ b/daemon/invalid_answer_test.go
@@ -31,6 +31,7 @@
 func TestInvalidAnswer(t *testing.T) {
 	var answer atomic.Pointer[answerFunc]
 	server := serveRaw(t, &answer)
+	const sound = "HTTP/1.1 200 OK\r\n{result}Content-Length: 5\r\n\r\nwhole"
 	for place, daemons := range map[string][]*daemon.Daemon{"backend server": startDaemons(t, server, nil, ""), "peer": startDaemons(t, server, nil, server)} {
 		counted := func() (n int64) {
 			for _, d := range daemons {
@@ -38,8 +39,11 @@
 			}
 			return n
 		}
+		var latest net.Conn // with a request
+		reused := false     // whether latest had one before
 		send := func(text string) result {
 			answer.Store(new(answerFunc(func(c *net.TCPConn, r *http.Request) bool {
+				reused, latest = c == latest, c
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = io.WriteString(c, strings.Replace(text, "{result}", resultOf(r), 1))
 				return strings.Contains(text, "Content-Length: ") || strings.Contains(text, "Transfer-Encoding: ")
@@ -77,6 +81,8 @@
 				r := send(text)
 				So(r.complete, ShouldBeTrue)
 				So(r.code.Kind(), ShouldEqual, resultcode.OutcomeUnknown)
+				So(send(sound).isSuccess(), ShouldBeTrue)
+				So(reused, ShouldBeFalse)
 				if name != "interim answers without end" {
 					So(counted(), ShouldEqual, before+1)
 				}
--- a/internal/answercheck/doc.go
+++ b/internal/answercheck/doc.go
@@ -9,6 +9,6 @@
 //
 // Head and Body check answers that were read with http.ReadResponse, Transport those of an http.Transport.
 //
-// Limits: lines that continue a field (obs-fold) are joined by net/http, as RFC 9112, 5.2, allows. http.Transport may have used the
-// connection of an invalid answer without a body for another request before it is closed; that request fails then.
+// Limits: lines that continue a field (obs-fold) are joined by net/http, as RFC 9112, 5.2, allows. http.Transport may hand the
+// connection of an invalid answer without a body to a request that waits for one; that request fails then.
 package answercheck
--- a/internal/answercheck/transport.go
+++ b/internal/answercheck/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -36,31 +37,53 @@
 		if err != nil {
 			return nil, err
 		}
-		return connend.New(c), nil
+		return &conn{Conn: connend.New(c), released: make(chan struct{})}, nil
 	}
 	return &Transport{Transport: base, invalid: invalid}
 }
 
+// conn is a connection of an http.Transport.
+type conn struct {
+	*connend.Conn
+	released chan struct{} // closed when the http.Transport has closed the connection, and no longer uses it
+	release  sync.Once
+}
+
+// Close implements net.Conn. The http.Transport calls it.
+func (c *conn) Close() error {
+	c.release.Do(func() { close(c.released) })
+	return c.Conn.Close()
+}
+
+// end ends the connection, and waits until the http.Transport no longer uses it or ctx ends.
+func (c *conn) end(ctx context.Context) {
+	_ = c.Conn.Close()
+	select {
+	case <-c.released:
+	case <-ctx.Done():
+	}
+}
+
 // RoundTrip implements http.RoundTripper. It returns an *Error for an answer whose head is not valid, and
 // headlimit.ErrTooLarge if the heads of the interim answers before it exceed headlimit.DefaultBytes together. Reading the body of
 // an answer that proves to be broken there fails with an *Error or connend.ErrFailed. The connection is closed in each case.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	ex := &exchange{transport: t, address: req.URL.Host}
+	ex := &exchange{transport: t, ctx: req.Context(), address: req.URL.Host}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { ex.conn.Store(&info.Conn) }, Got1xxResponse: ex.interim,
+		GotConn: ex.gotConn, Got1xxResponse: ex.interim,
 	})))
-	if err == nil {
-		err = Head(resp.StatusCode, resp.Header)
-	}
 	if err != nil {
-		ex.check(err)
-		if resp != nil {
-			_ = resp.Body.Close()
-		}
+		ex.report(err)
+		return nil, err
+	}
+	if err := Head(resp.StatusCode, resp.Header); err != nil {
+		_ = resp.Body.Close()
+		ex.report(err)
+		ex.endConn()
 		return nil, err
 	}
 	if resp.Body != http.NoBody {
-		resp.Body = &reportingBody{Body(resp), ex}
+		resp.Body = &reportingBody{ReadCloser: Body(resp), exchange: ex}
 	}
 	return resp, nil
 }
@@ -68,10 +91,23 @@
 // exchange is one request and its answer.
 type exchange struct {
 	transport    *Transport
+	ctx          context.Context
 	address      string
-	conn         atomic.Pointer[net.Conn]
+	conn         atomic.Pointer[conn]
 	interimBytes int
-	reported     bool
+}
+
+func (ex *exchange) gotConn(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*conn); ok { // always, without TLS
+		ex.conn.Store(c)
+	}
+}
+
+// endConn ends the connection, which the http.Transport may keep for further requests.
+func (ex *exchange) endConn() {
+	if c := ex.conn.Load(); c != nil {
+		c.end(ex.ctx)
+	}
 }
 
 // interim checks the head of an interim answer. http.Transport does not limit them together if it hands them on.
@@ -88,16 +124,9 @@
 	return Head(status, http.Header(header))
 }
 
-// check reports an error that says that the answer is broken, and closes the connection then.
-func (ex *exchange) check(err error) {
-	if err == nil || err == io.EOF || ex.reported || ReasonOf(err) == "" {
-		return
-	}
-	ex.reported = true
-	if conn := ex.conn.Load(); conn != nil {
-		_ = (*conn).Close()
-	}
-	if ex.transport.invalid != nil {
+// report reports an error if it says that the answer is broken.
+func (ex *exchange) report(err error) {
+	if ex.transport.invalid != nil && ReasonOf(err) != "" {
 		ex.transport.invalid(ex.address, err)
 	}
 }
@@ -106,11 +135,16 @@
 type reportingBody struct {
 	io.ReadCloser
 	exchange *exchange
+	failed   bool
 }
 
 // Read implements io.Reader.
 func (b *reportingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.exchange.check(err)
+	if err != nil && err != io.EOF && !b.failed {
+		b.failed = true
+		b.exchange.report(err)
+		b.exchange.endConn()
+	}
 	return n, err
 }
