A daemon that has lost the store alone agrees with the others on who owns a tenant

Cause: the two receive the removal of their entries from peers, and put it in force as "lapsed", because the store is unavailable to them. Lapsed entries stay in use for requests, as in an outage for all, and they stayed in the list over which owners of quotas are chosen, too. The four others had removed them, and chose another owner.

Evidence: the log of a daemon without the store shows "upstream removed ... store_away=true source=peer" at the revision that the others hold, so that it did not lack the change. New log line for it: "quota daemons changed", with the number of daemons, the position, and whether this one is among them.

Change: a daemon that reads the store outside of a grace states in its replies to Sync and Follow up to which position removals are settled. A daemon without the store that learns that they are settled up to its own position no longer counts lapsed entries as members (directory.Members). They stay in use for requests.

Why it works: the statement starts only at a daemon that has read the store at that position and removed the entries itself, so that nothing is settled during an outage for all. A daemon without the store asks a random peer each 250 ms already; the statement is one position in replies that exist.

Ruled out: that the two lack the removal (above); following a watcher instead of reading the store (in a small fleet every daemon is one of the two of its zone that read it).

TestMembersWithoutStore covers the directory.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -54,9 +54,10 @@
 	// leaving says that the upstream has stated that it is shutting down, which its entry in the
 	// store may not say yet.
 	leaving bool
-	// lapsed says that the store has stopped listing the upstream, at lapsedAt.
-	lapsed   bool
-	lapsedAt time.Time
+	// lapsed says that the store has stopped listing the upstream, at lapsedAt. settled says that daemons
+	// for which the store is available have removed it.
+	lapsed, settled bool
+	lapsedAt        time.Time
 }
 
 // Directory holds the upstreams of all services. It is not safe for concurrent use.
@@ -78,6 +79,7 @@
 	all       []Upstream
 	serving   map[string][]Upstream // those that take new work, by service, ordered by ID
 	byAddress map[string]Upstream
+	members   []string
 }
 
 // New returns an empty directory.
@@ -282,7 +284,12 @@
 	}
 	x := &index{serving: make(map[string][]Upstream), byAddress: make(map[string]Upstream)}
 	present := make(map[string]*entry, len(d.entries)) // by address
+	member := make(map[string]bool, len(d.entries))    // by address
 	for _, e := range d.entries {
+		if !e.settled && !member[e.Address] {
+			member[e.Address] = true
+			x.members = append(x.members, e.Address)
+		}
 		if other := present[e.Address]; other == nil || d.supersedes(e, other) {
 			present[e.Address] = e
 		}
@@ -326,6 +333,26 @@
 // order. The caller must not change the slice.
 func (d *Directory) All() []Upstream { return d.indexed().all }
 
+// Members returns the addresses of the upstreams that all daemons are to know: those of All without the
+// ones that this daemon alone keeps in use, see SettleRemovals. The caller must not change the slice.
+func (d *Directory) Members() []string { return d.indexed().members }
+
+// SettleRemovals records that the upstreams that have lapsed so far were removed by daemons for which the
+// store is available, outside of a grace. They stay in use, since the store is unavailable here, but are no
+// longer members. It reports whether there were any.
+func (d *Directory) SettleRemovals() bool {
+	changed := false
+	for _, e := range d.entries {
+		if e.lapsed && !e.settled {
+			e.settled, changed = true, true
+		}
+	}
+	if changed {
+		d.index = nil
+	}
+	return changed
+}
+
 // Sample returns up to n upstreams, chosen at random from those at other addresses.
 func (d *Directory) Sample(random *rand.Rand, n int, excluded string) []Upstream {
 	all := d.All()
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -228,3 +228,24 @@
 		})
 	})
 }
+
+// Guards against a daemon that has lost the store alone and still counts an upstream as a member that all
+// others have removed.
+func TestMembersWithoutStore(t *testing.T) {
+	Convey("Given an upstream that is removed while the store is unavailable", t, func() {
+		d := twoUpstreams()
+		d.MarkStoreUnavailable()
+		d.Remove(start, "u1")
+		So(d.Members(), ShouldHaveLength, 2)
+		Convey("it is no member once the removal is settled, and stays in use", func() {
+			So(d.SettleRemovals(), ShouldBeTrue)
+			So(d.Members(), ShouldResemble, []string{"2:1"})
+			So(servingIDs(d, "s"), ShouldResemble, []string{"u1", "u2"})
+			So(d.SettleRemovals(), ShouldBeFalse)
+			Convey("and a member again when it is listed again", func() {
+				d.Put(Upstream{ID: "u1", Service: "s", Address: "1:1", Incarnation: 10})
+				So(d.Members(), ShouldHaveLength, 2)
+			})
+		})
+	})
+}
--- a/mesh/daemon.go
+++ b/mesh/daemon.go
@@ -163,6 +163,8 @@
 	// watching says that this daemon watches the store itself and the last read succeeded.
 	watching bool
 	sources  *watchers.Selector
+	// applied is the position whose changes are all in force, and settledAt that up to which removals are settled.
+	applied, settledAt replica.Position
 	// listedChanged says that an upstream was listed or removed since the quotas received the list.
 	listedChanged bool
 	changed       chan struct{} // closed when the replica changes or watching ends
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -31,6 +31,7 @@
 	eventOutdated           = "upstream entry outdated"
 	eventRemoved            = "upstream removed"
 	eventExpired            = "upstream gone"
+	eventQuotaDaemons       = "quota daemons changed"
 	eventPeerLinkEnded      = "peer connection ended"
 	eventTimeoutKept        = "peer connection keeps its time limit"
 	eventPeerSilent         = "peer connection silent"
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -86,6 +86,7 @@
 	d.apply(reply.Update, "watcher "+source)
 	refused := reply.Config != nil && !d.applyConfig(reply.Config, "watcher "+source)
 	d.renewFromPeer(asked, reply.Proven)
+	d.settleAsPeer(reply.Settled)
 	if refused {
 		d.pause(refusedConfigPause)
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -184,6 +184,8 @@
 	Config *StoredItem
 	// Proven is the daemon's latest proof that the configuration is the newest; nil for none.
 	Proven *freshness.Statement
+	// Settled is the position up to which removals are known to be settled, see settled.go.
+	Settled replica.Position
 }
 
 // FollowArgs requests the changes after a state and waits for them up to Wait.
@@ -209,6 +211,8 @@
 	Clock int64
 	// Proven is the daemon's latest proof that the configuration is the newest; nil for none.
 	Proven *freshness.Statement
+	// Settled is the position up to which removals are known to be settled, see settled.go.
+	Settled replica.Position
 }
 
 // ReportsArgs carries crash reports. With Exchange set, the peer's reports are requested.
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -263,7 +263,7 @@
 	reply.Clock = c.daemon.statedTime()
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.Proven = c.daemon.stateProof(arrival)
+	reply.Proven, reply.Settled = c.daemon.stateProof(arrival), c.daemon.settledAt
 	return nil
 }
 
@@ -273,6 +273,6 @@
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
 	reply.Update, reply.Config = c.daemon.changesSince(args.Since)
-	reply.Proven = c.daemon.stateProof(arrival)
+	reply.Proven, reply.Settled = c.daemon.stateProof(arrival), c.daemon.settledAt
 	return nil
 }
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"github.com/hawthornpoint/hawthornpoint/core/quota"
 	"github.com/hawthornpoint/hawthornpoint/core/tenancy"
@@ -59,12 +61,11 @@
 		return
 	}
 	d.listedChanged = false
-	all := d.dir.All()
-	addresses := make([]string, len(all))
-	for i, u := range all {
-		addresses[i] = u.Address
+	members := d.dir.Members()
+	if d.quotas.SetDaemons(members) {
+		d.log.Info(eventQuotaDaemons, zap.Int("daemons", len(members)), zap.Bool("member", slices.Contains(members, d.settings.BackendAddress)),
+			zap.Bool("store_away", d.storeUnavailable), positionField(d.applied))
 	}
-	d.quotas.SetDaemons(addresses)
 }
 
 // takeToken requests a token for the request if its tenant has a quota. It returns false if the request is refused.
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -83,6 +83,7 @@
 		case err == nil:
 			d.recordStoreRead(failures)
 			changes := d.apply(update, "store")
+			d.settleOwn(update.At)
 			d.renewFromStore(base, update)
 			if changes > 0 {
 				d.notifyPeers()
@@ -244,6 +245,9 @@
 		d.change(now, change, StoredItem{Item: item, Era: at.Era}, source)
 		d.noteStoreConfig(change, item)
 	}
+	d.mu.Lock()
+	d.applied = at
+	d.mu.Unlock()
 	d.updated.Store(true)
 	if len(changed) > 0 {
 		d.log.Debug(eventUpdated, zap.String("source", source), positionField(at), zap.Int("changes", len(changed)))
@@ -453,6 +457,7 @@
 	changes := d.apply(reply.Update, "peer "+address)
 	configured := d.applyConfig(reply.Config, "peer "+address)
 	d.renewFromPeer(asked, reply.Proven)
+	d.settleAsPeer(reply.Settled)
 	if configured || changes > 0 {
 		d.notifyPeers()
 	}
--- a/quotas/controller.go
+++ b/quotas/controller.go
@@ -120,8 +120,8 @@
 // SetUsed says whether some tenant has a quota.
 func (c *Controller) SetUsed(used bool) { c.used.Store(used) }
 
-// SetDaemons puts a list of all daemons in force, if it has changed.
-func (c *Controller) SetDaemons(daemons []string) {
+// SetDaemons puts a list of all daemons in force and reports whether it has changed.
+func (c *Controller) SetDaemons(daemons []string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changed := len(daemons) != c.node.Daemons()
@@ -131,6 +131,7 @@
 	if changed {
 		c.node.SetDaemons(c.opts.Now(), daemons)
 	}
+	return changed
 }
 
 // Take requests a token for a request of a tenant. It returns when ctx ends, at the latest.
