A stopping daemon accepts only requests whose run fits into what is left of the stop

Cause: a request opened during a stop is cut at the end of the stop, and was refused only if less than the average run time of its route was left. About half of those accepted near that edge were cut. It could also wait for a slot at the daemon of its upstream and begin with whatever was left.

In virtual time 88 accepted requests were cut (TestAcceptedRunsEndBeforeTheStop, failed before).

Change: the longest run of each route in the latest 30 to 60 s, with a margin that grows if few are known, decides. AskArgs.LeastLeft keeps a run from beginning later than that after a wait for a slot. Refused requests get 503 at once.

Why it works: what is accepted ends before the cut unless a run takes longer than all recent ones and a quarter; without known runs only what ends by its own time limit is accepted.

Test changed: the second part of TestStopRefusesRunsThatOutliveIt expected that a request on a route without a known run is sent and cut with 504, which is the fault. It now expects 503 and no run there, and the 504 for a run that takes longer than 100 known ones.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	// bodySpent is the reason for ending a request that can't be sent again, because part of its
 	// body was sent.
 	bodySpent = "body_spent"
+	// mayOutliveStop is the reason for refusing a request whose run may not end before the daemon has stopped.
+	mayOutliveStop = "may_outlive_stop"
 	// quarantined is the reason for ending a request that crashes upstreams.
 	quarantined = "quarantined"
 )
@@ -74,6 +76,7 @@
 	budgets        map[string]*retry.WindowBudget // by name of the service
 	averageLatency map[string]time.Duration       // by name of the route, over all upstreams
 	referenceRun   map[string]time.Duration       // by name of the route: average of the reported run times
+	longestRuns    map[string]*longestRun         // by name of the route
 	closed         bool
 	stopBy         time.Time // when requests that are opened from now on must have ended; zero if never
 }
@@ -87,6 +90,7 @@
 		budgets:        make(map[string]*retry.WindowBudget),
 		averageLatency: make(map[string]time.Duration),
 		referenceRun:   make(map[string]time.Duration),
+		longestRuns:    make(map[string]*longestRun),
 	}
 }
 
@@ -95,7 +99,8 @@
 func (d *Dispatcher) Close() { d.closed = true }
 
 // StopBy sets when requests that are opened from now on must have ended, because the daemon stops.
-// Those that are expected to take longer are refused, and no attempt is started for them.
+// One that has more time than that is refused unless all recent runs of its route would have ended by
+// then, with a margin: once it is sent, ending it early would waste the run and leave its caller in doubt.
 func (d *Dispatcher) StopBy(at time.Time) { d.stopBy = at }
 
 // Open returns a new request with the given time left. retryShare is the probability that
@@ -162,8 +167,13 @@
 	if d.closed {
 		return d.refuse(req, resultcode.Leaving, noUpstreamRetryAfter, "stopping")
 	}
-	if req.stopping && req.Deadline.Sub(now) < d.averageLatency[req.Route.Name] {
-		return d.refuse(req, resultcode.Leaving, noUpstreamRetryAfter, "stopping")
+	leastLeft := time.Duration(0)
+	if req.stopping {
+		run, known := d.longestRun(req.Route.Name).bound(now)
+		if !known || req.Deadline.Sub(now) < run {
+			return d.refuse(req, resultcode.Leaving, noUpstreamRetryAfter, mayOutliveStop)
+		}
+		leastLeft = run
 	}
 	if req.Deadline.Sub(now) < minSendTime {
 		return d.refuse(req, resultcode.DeadlineTooShort, 0, "time_left")
@@ -186,7 +196,8 @@
 	age := s.loadAge(now)
 	s.inFlight++
 	s.attemptsSinceLoad++
-	return Step{Upstream: s.upstream, MayQueue: req.mayQueue || req.Suspect != "", LoadAge: age, Rate: s.load.Rate, Placement: placement, RelativeRun: s.relativeRun(now)}
+	req.asking = now
+	return Step{Upstream: s.upstream, LeastLeft: leastLeft, MayQueue: req.mayQueue || req.Suspect != "", LoadAge: age, Rate: s.load.Rate, Placement: placement, RelativeRun: s.relativeRun(now)}
 }
 
 // refuse ends a request that has no attempt under way. If an earlier attempt was lost it
@@ -282,12 +293,15 @@
 		s.recordReply()
 		s.recordResult(now, false)
 		d.updateLatency(now, req.Route.Name, s, report.Elapsed)
+		d.longestRun(req.Route.Name).record(now, report.Elapsed)
 	case Failed, Rejected:
 		s.recordReply()
 		s.recordResult(now, true)
 	case Lost:
 		s.recordNoReply(now)
 		s.recordResult(now, true)
+	case Expired:
+		d.longestRun(req.Route.Name).record(now, now.Sub(req.asking))
 	case Refused:
 		s.recordReply()
 	}
@@ -332,6 +346,21 @@
 	}
 }
 
+func (d *Dispatcher) longestRun(route string) *longestRun {
+	l := d.longestRuns[route]
+	if l == nil {
+		l = &longestRun{}
+		d.longestRuns[route] = l
+	}
+	return l
+}
+
+// RecordDelivered records the time from the attempt's question to the end of an answer of several parts, of
+// which Report.Elapsed covers the first.
+func (d *Dispatcher) RecordDelivered(now time.Time, req *OutgoingRequest) {
+	d.longestRun(req.Route.Name).record(now, now.Sub(req.asking))
+}
+
 // AverageLatency returns the average time from sending a request of a route to its answer, 0 if unknown.
 func (d *Dispatcher) AverageLatency(route string) time.Duration { return d.averageLatency[route] }
 
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -326,7 +326,10 @@
 			So(d.Next(start, open(d, false)).Code, ShouldEqual, resultcode.Leaving)
 		})
 		Convey("a shorter one is sent and ends before the stop", func() {
-			d.averageLatency["r"] = 100 * time.Millisecond
+			for range 100 {
+				d.longestRun("r").record(start.Add(2*longestRunWindow), 100*time.Millisecond)
+			}
+			d.longestRun("r").start = start
 			req := open(d, false)
 			So(d.Next(start, req).Code, ShouldEqual, resultcode.Code(0))
 			So(req.Deadline, ShouldEqual, start.Add(800*time.Millisecond))
@@ -334,6 +337,69 @@
 		Convey("a request that was opened before is sent", func() {
 			So(d.Next(start, earlier).Code, ShouldEqual, resultcode.Code(0))
 		})
+		Convey("a request of a route of which no run is known is refused as not run", func() {
+			delete(d.longestRuns, "r")
+			So(d.Next(start, open(d, false)).Code, ShouldEqual, resultcode.Leaving)
+		})
+	})
+}
+
+// Guards against ending a run that a stopping daemon has accepted, because it takes longer than the average.
+func TestAcceptedRunsEndBeforeTheStop(t *testing.T) {
+	Convey("Given runs of 0.4 to 1.2 s and requests during the last 3 s before the stop", t, func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		run := func() time.Duration { return time.Duration(400+random.IntN(801)) * time.Millisecond }
+		accepted, refused, cut := 0, 0, 0
+		for range 20 {
+			d, _ := fleet(3)
+			for range 200 {
+				req := open(d, false)
+				d.Next(start, req)
+				d.Report(start, req, Report{Result: Answered, Elapsed: run()})
+			}
+			stop := start.Add(3 * time.Second)
+			d.StopBy(stop)
+			for at := start; at.Before(stop); at = at.Add(20 * time.Millisecond) {
+				req := d.Open(at, &routing.Route{Name: "r", Timeout: 10 * time.Second, MaxUpstreams: 2}, "s", 8*time.Second, 0)
+				step := d.Next(at, req)
+				if step.Code != 0 {
+					So(step.Code, ShouldEqual, resultcode.Leaving)
+					refused++
+					continue
+				}
+				accepted++
+				took := run()
+				So(step.LeastLeft, ShouldBeBetween, 1100*time.Millisecond, 1600*time.Millisecond)
+				if at.Add(took).After(stop) {
+					cut++
+				}
+				d.Report(at, req, Report{Result: Answered, Elapsed: took})
+			}
+		}
+		So(cut, ShouldEqual, 0)
+		So(accepted, ShouldBeGreaterThan, refused) // 1.5 of 3 s, or more, are left for them
+	})
+}
+
+// Guards against a bound on run times that a few runs or an old one determine.
+func TestLongestRun(t *testing.T) {
+	Convey("The bound is the longest recent run with a margin that shrinks with their number", t, func() {
+		var l longestRun
+		_, known := l.bound(start)
+		So(known, ShouldBeFalse)
+		l.record(start, time.Second)
+		bound, known := l.bound(start)
+		So(known, ShouldBeTrue)
+		So(bound, ShouldEqual, 17*time.Second)
+		for range 99 {
+			l.record(start.Add(longestRunWindow), 100*time.Millisecond)
+		}
+		bound, _ = l.bound(start.Add(longestRunWindow))
+		So(bound, ShouldEqual, 1250*time.Millisecond)
+		bound, _ = l.bound(start.Add(2 * longestRunWindow))
+		So(bound, ShouldEqual, 125*time.Millisecond)
+		_, known = l.bound(start.Add(4 * longestRunWindow))
+		So(known, ShouldBeFalse)
 	})
 }
 
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -16,7 +16,7 @@
 	Service string
 	// Arrived is when the request was opened, Objective when its answer should be available.
 	// Deadline is when it ends: after the time left at Open, or after the route's timeout if
-	// that is shorter, or when the daemon stops.
+	// that is shorter, or when the daemon stops, see StopBy.
 	Arrived, Objective, Deadline time.Time
 	// Suspect is a key of the request if equal ones ran at a crash of an upstream, otherwise empty.
 	// It may change between two steps. All daemons ask the upstreams for a suspect in the same order,
@@ -28,6 +28,7 @@
 	// target and incarnation identify the upstream of the latest attempt.
 	target      string
 	incarnation int64
+	asking      time.Time // when the upstream of the latest attempt was chosen
 	asked       int
 	sent        int
 	lost        bool // an attempt may have run without a known outcome
@@ -53,6 +54,8 @@
 	Upstream directory.Upstream
 	// MayQueue allows the upstream to queue the request.
 	MayQueue bool
+	// LeastLeft is the least time until the deadline with which the request may be sent, 0 for any.
+	LeastLeft time.Duration
 	// Code ends the request if it is not 0.
 	Code resultcode.Code
 	// RetryAfter is the time after which a refused caller may retry. It is not set if an
--- a/mesh/answer.go
+++ b/mesh/answer.go
@@ -93,6 +93,9 @@
 		c.daemon.log.Info(eventTruncated, zap.String("id", c.head.ID), errorField(err))
 		panic(http.ErrAbortHandler)
 	}
+	if a.answer.More {
+		c.recordDelivered()
+	}
 	if a.answer.Failed {
 		c.daemon.recordOutcome(c, outcomeFailed)
 	} else {
@@ -101,6 +104,12 @@
 	c.daemon.logAnswered(c, a.answer.Failed)
 }
 
+func (c *callerRequest) recordDelivered() {
+	c.daemon.mu.Lock()
+	defer c.daemon.mu.Unlock()
+	c.daemon.dispatcher.RecordDelivered(time.Now(), c.outgoing)
+}
+
 // refuse sends a final answer of the daemon itself.
 func (c *callerRequest) refuse(code resultcode.Code, retryAfter time.Duration, reason string) {
 	d := c.daemon
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -305,7 +305,7 @@
 		CallerService:  c.daemon.settings.Service,
 		Fingerprint:    c.fingerprint,
 		Repeat:         c.outgoing.Sent() > 0,
-		UntilObjective: c.outgoing.Objective.Sub(now), Left: c.outgoing.Deadline.Sub(now), MayQueue: step.MayQueue, Rate: step.Rate,
+		UntilObjective: c.outgoing.Objective.Sub(now), Left: c.outgoing.Deadline.Sub(now), LeastLeft: step.LeastLeft, MayQueue: step.MayQueue, Rate: step.Rate,
 	}
 }
 
@@ -389,6 +389,11 @@
 		return Reply{}, nil, c.resultWithoutReply(ctx, ask.Payload != nil, err)
 	}
 	sendCtx, stopSending := context.WithCancel(c.r.Context())
+	if reply.Outcome == OutcomeGranted && time.Until(c.outgoing.Deadline) < ask.LeastLeft {
+		stopSending()
+		link.cancel(ask.ID)
+		return reply, nil, dispatch.Refused
+	}
 	if reply.Outcome == OutcomeGranted {
 		runCtx, cancelRun := context.WithCancel(ctx)
 		defer cancelRun()
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -89,7 +89,7 @@
 	}
 	if decision.Verdict == slots.Wait {
 		d.metrics.Count(metricSlots, "wait")
-		decision = d.awaitSlot(a, args.Left)
+		decision = d.awaitSlot(a, args.Left-args.LeastLeft)
 		d.recordQueueTime(a, time.Since(asked), decision)
 	}
 	switch {
@@ -100,6 +100,9 @@
 	case a.ctx.Err() != nil:
 		d.withdrawGrant(a, "time_over")
 		return d.reply(a, OutcomeUnsent, decision)
+	case time.Until(deadline) < args.LeastLeft:
+		d.withdrawGrant(a, "time_left")
+		return d.reply(a, OutcomeRefused, slots.Decision{Reason: slots.TooLate})
 	case args.Payload == nil:
 		a.releaseTimer.Store(time.AfterFunc(grantTimeout, func() {
 			d.withdrawGrant(a, "grant_unused")
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -50,6 +50,9 @@
 	// UntilObjective and Left are the times left until the latency objective and until the
 	// deadline.
 	UntilObjective, Left time.Duration
+	// LeastLeft is the least time until the deadline with which the request may be sent to the backend
+	// server, 0 for any.
+	LeastLeft time.Duration
 	// Rate is the limit on requests per second that the sender knows of the upstream, 0 for none.
 	// A daemon that has restarted beside a limited upstream adopts it.
 	Rate float64
