--- a/harness/soak/server.go
+++ b/harness/soak/server.go
@@ -6,6 +6,7 @@
 	"hash/crc32"
 	"io"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,8 +20,8 @@
 	// slow multiplies run times.
 	slow float64
 	// The shares of requests that are rejected, that end with the connection, whose answer is
-	// truncated, or that get a second copy of their answer later.
-	reject, closeAfter, truncate, repeat float64
+	// truncated or not valid, or that get a second copy of their answer later.
+	reject, closeAfter, truncate, invalid, repeat float64
 }
 
 // server is the backend server of a VM. Each start has a new id.
@@ -146,6 +147,11 @@
 			return err == nil
 		}
 		run := s.vm.soak.history.beginRun(r.ID, s.vm.index)
+		if s.chance(0.2) {
+			s.vm.soak.history.endRun(run, BrokenOff)
+			writeInvalid(w, answerText(r, 200, 100, false), partWithoutLength)
+			return false
+		}
 		_, err := w.Write(answerText(r, 200, 100, false))
 		s.vm.soak.history.endRun(run, Finished)
 		return err == nil
@@ -216,6 +222,11 @@
 		_, _ = w.Write(text[:len(text)/2])
 		return false
 	}
+	if s.chance(fault.invalid) {
+		history.endRun(run, BrokenOff)
+		writeInvalid(w, text, invalidForm(rand.IntN(invalidForms)))
+		return false
+	}
 	if _, err := w.Write(text); err != nil {
 		if s.cutSince(cuts, upstream) {
 			history.endRun(run, BrokenOff)
@@ -231,6 +242,37 @@
 	return r.Header.Get("Close") == ""
 }
 
+// invalidForm is the way in which an answer is not valid.
+type invalidForm int
+
+const (
+	invalidStatus     invalidForm = iota // status 000
+	invalidName                          // a blank in the name of a field
+	invalidFraming                       // a blank in the name of the field that frames the answer
+	partWithoutLength                    // a part of the answer, without a length, and a reset of the connection
+	invalidForms      = iota
+)
+
+// writeInvalid writes an answer that is not valid. The connection has to be closed behind it.
+func writeInvalid(w io.Writer, text []byte, form invalidForm) {
+	head, body, _ := strings.Cut(string(text), "\r\n\r\n")
+	framing := strings.LastIndex(head, "\r\n")
+	switch form {
+	case invalidStatus:
+		head = head[:len("HTTP/1.1 ")] + "000" + head[len("HTTP/1.1 000"):]
+	case invalidName:
+		head = head[:framing] + "\r\nX Odd: 1" + head[framing:]
+	case invalidFraming:
+		head = head[:framing] + strings.Replace(head[framing:], ":", " :", 1)
+	case partWithoutLength:
+		head, body = head[:framing], body[:len(body)/2]
+	}
+	_, _ = io.WriteString(w, head+"\r\n\r\n"+body)
+	if socket, ok := w.(*net.TCPConn); ok && form == partWithoutLength {
+		_ = socket.SetLinger(0)
+	}
+}
+
 // admit takes a slot, after waiting in the queue if need be. It reports false if there is no room.
 func (s *server) admit(ctx context.Context) bool {
 	select {
