Quota: followers receive what is settled with the changes, and versions of a list never go back

TestGrantsGoOnWhileChangesSpread guards the cost in calm: 66 daemons, a change each 0.8 s that all have 0.4 s later, no owner stops; with a time to catch up of 100 ms it fails.

--- a/core/quota/contact.go
+++ b/core/quota/contact.go
@@ -4,6 +4,9 @@
 	"time"
 )
 
+// laterList is the reason of ContactLost if the daemon is behind.
+const laterList = "others have a later list of daemons"
+
 // recordContact records that another daemon had the same list at a time or later. After a gap, the daemon is like one that
 // has become owner.
 func (n *Node) recordContact(now, at time.Duration) {
@@ -72,7 +75,7 @@
 func (n *Node) noContact(now time.Duration) string {
 	switch {
 	case n.behind(now):
-		return "others have a later list of daemons"
+		return laterList
 	case len(n.daemons) == 1 && n.known[n.self]:
 		return ""
 	case !n.reachesMost(now):
--- a/core/quota/lists.go
+++ b/core/quota/lists.go
@@ -47,10 +47,12 @@
 	heard time.Duration
 }
 
-// SetVersion records the version of the list of daemons in force.
+// SetVersion records that the list of daemons in force is still that of a version.
 func (n *Node) SetVersion(now time.Duration, v Version) {
-	n.version = v
-	n.dropReceived(now)
+	if n.version.Before(v) {
+		n.version = v
+		n.dropReceived(now)
+	}
 }
 
 // announce chooses the daemons that are asked next so that they hear of the list of this one.
@@ -74,8 +76,8 @@
 func (n *Node) hear(now time.Duration, l List) {
 	switch {
 	case len(n.daemons) == 0 || !n.Latest().Version.Before(l.Version):
-	case len(n.newer) == 0 && l.Hash == n.list:
-		n.version = l.Version // the list has not changed since
+	case l.Hash == n.list:
+		n.SetVersion(now, l.Version) // the changes until then have cancelled out
 	case len(n.newer) < maxNewer:
 		n.newer = append(n.newer, newerList{l, now})
 	default:
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -127,7 +127,8 @@
 	n.announce(removed)
 	n.ring = rendezvous.New(daemons, xxhash.Sum64String)
 	n.generation++
-	n.SetVersion(now, v)
+	n.version = v
+	n.dropReceived(now)
 	for tenant := range n.buckets {
 		if n.ring.Lookup(tenant) != n.self {
 			delete(n.buckets, tenant)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -437,3 +437,42 @@
 		}
 	}
 }
+
+// Guards against owners that stop granting while changes of the list spread as in calm.
+func TestGrantsGoOnWhileChangesSpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	f := newFleet(66, Bounds{Window: 2 * time.Second, Overshoot: 0.25, Slack: 20}, random)
+	limit, lists, receive := Limit{Rate: 100}, make([][]string, len(f.nodes)), make([]time.Duration, len(f.nodes))
+	for i := range f.limits {
+		f.limits[i]["t"] = limit
+	}
+	behind := 0
+	for f.now < 20*time.Second {
+		if f.now%(800*ms) == 0 && f.now > 2*time.Second { // an upstream leaves or joins, and all have received it 400 ms later
+			f.revision++
+			present := f.names[:65+f.revision%2]
+			for i := range f.nodes {
+				lists[i], receive[i] = present, f.now+time.Duration(random.IntN(400))*ms
+			}
+		}
+		f.step(4*ms, func() bool { return false })
+		for i, n := range f.nodes {
+			if lists[i] != nil && f.now >= receive[i] {
+				n.SetDaemons(f.now, f.version(), lists[i])
+				lists[i] = nil
+			}
+			for _, e := range n.Events() {
+				if e.Kind == ContactLost && e.Reason == laterList && f.now > 2*time.Second {
+					behind++
+				}
+			}
+		}
+		f.request(random.IntN(65), "t")
+		if f.now%(20*ms) == 0 {
+			f.expire()
+		}
+	}
+	if behind > 0 {
+		t.Errorf("owners suspended grants %d times because of a later list", behind)
+	}
+}
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -116,7 +116,7 @@
 	for {
 		d.mu.Lock()
 		changed := d.changed
-		reply := FollowReply{Watching: d.watching && !d.stopping, Doubtful: d.dir.Doubtful(time.Now())}
+		reply := FollowReply{Watching: d.watching && !d.stopping, Doubtful: d.dir.Doubtful(time.Now()), Settled: d.settledAt}
 		reply.Update, reply.Config = d.changesSince(after)
 		d.mu.Unlock()
 		if !reply.Watching || reply.Update.Whole || len(reply.Update.Items) > 0 || reply.Config != nil {
--- a/mesh/peerserver.go
+++ b/mesh/peerserver.go
@@ -263,7 +263,7 @@
 	reply.Clock = c.daemon.statedTime()
 	c.daemon.mu.Lock()
 	defer c.daemon.mu.Unlock()
-	reply.Proven, reply.Settled = c.daemon.stateProof(arrival), c.daemon.settledAt
+	reply.Proven = c.daemon.stateProof(arrival)
 	return nil
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -82,8 +82,8 @@
 		switch {
 		case err == nil:
 			d.recordStoreRead(failures)
+			d.settleOwn(update.At) // first, so that followers receive it with the changes
 			changes := d.apply(update, "store")
-			d.settleOwn(update.At)
 			d.renewFromStore(base, update)
 			if changes > 0 {
 				d.notifyPeers()
