--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -11,7 +11,9 @@
 // two daemons that own a tenant at the same time for a moment. docs/design/quotas.md has the sums.
 //
 // A daemon that becomes owner holds no burst: its bucket is empty handoverTime after the change, when the
-// previous owner has received it too. An owner that has had no answer from any other daemon for contactTime
+// previous owner has received it too. Messages carry the version of the latest list of daemons that their sender
+// has heard of; an owner whose list is an earlier one grants nothing after catchUpTime until it has that. An
+// owner that has had no answer from any other daemon for contactTime
 // may have been replaced without having received that. It grants nothing until it has one, and after a gap
 // its buckets begin empty.
 //
