--- /dev/null
+++ b/review/rig3/client.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	timeLimit = 5 * time.Second // that clients state
+	// giveUp is when a client that got neither an answer nor the end of its connection gives up.
+	giveUp = timeLimit + 2*time.Second
+)
+
+var lastRequest atomic.Int64
+
+// request is one attempt of a client and what came of it.
+type request struct {
+	id, method, target string
+	sent, ended        time.Duration
+	status             int // 0: the connection ended without an answer
+	sealed             bool
+	err                error
+}
+
+func newRequest(method, target string) *request {
+	return &request{id: fmt.Sprintf("%016x", 0x1c41d07b00000000+lastRequest.Add(1)), method: method, target: target}
+}
+
+func (r *request) text() string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Hawthornpoint-Request-Id: %s\r\nX-Hawthornpoint-Deadline-Ms: %d\r\n\r\n",
+		r.method, r.target, routeHost, r.id, timeLimit.Milliseconds())
+}
+
+// outcome says what the client saw.
+func (r *request) outcome() string {
+	if r.status > 0 {
+		return fmt.Sprintf("answered %d (sealed %t)", r.status, r.sealed)
+	}
+	return fmt.Sprintf("no answer: %v", r.err)
+}
+
+// send sends requests on one kept connection to the daemon of a VM, each without waiting for the answers to those
+// before it, and reads the answers.
+func (v *vm) send(requests ...*request) {
+	f := v.fleet
+	c, err := net.DialTimeout("tcp", v.address(f.ports.outbound), time.Second)
+	if err != nil {
+		for _, r := range requests {
+			r.err = err
+		}
+		return
+	}
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for _, r := range requests {
+		r.sent = f.now()
+		if _, err := io.WriteString(c, r.text()); err != nil {
+			r.err = err
+		}
+	}
+	_ = c.SetReadDeadline(time.Now().Add(giveUp))
+	for i, r := range requests {
+		last, err := r.readAnswer(reader)
+		r.ended = f.now()
+		if err == nil && !last {
+			continue
+		}
+		if err == nil {
+			err = errors.New("sent behind an answer that closes the connection")
+			i++
+		}
+		for _, rest := range requests[i:] {
+			rest.err, rest.ended = err, f.now()
+		}
+		return
+	}
+}
+
+// readAnswer reads the answer to the request and reports whether the connection closes after it.
+func (r *request) readAnswer(reader *bufio.Reader) (last bool, err error) {
+	resp, err := http.ReadResponse(reader, &http.Request{Method: r.method})
+	if err != nil {
+		return true, err
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return true, err
+	}
+	r.status, r.sealed = resp.StatusCode, resp.Header.Get("X-Hawthornpoint-Response-Seal") != ""
+	return resp.Close, nil
+}
