--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -25,6 +25,8 @@
 	sent, ended        time.Duration
 	status             int // 0: the connection ended without an answer
 	sealed             bool
+	body               string
+	mixed              bool // a success without a seal, or one that is not that of the body
 	err                error
 }
 
@@ -45,9 +47,11 @@
 	return fmt.Sprintf("no answer: %v", r.err)
 }
 
-// send sends requests on one kept connection to the daemon of a VM, each without waiting for the answers to those
-// before it, and reads the answers.
-func (v *vm) send(requests ...*request) {
+// send sends a request on a connection of its own.
+func (v *vm) send(r *request) { v.sendInTurn(r) }
+
+// sendInTurn sends requests to the daemon of a VM on one kept connection, each after the answer to the one before it.
+func (v *vm) sendInTurn(requests ...*request) {
 	f := v.fleet
 	c, err := net.DialTimeout("tcp", v.address(f.ports.outbound), time.Second)
 	if err != nil {
@@ -58,27 +62,21 @@
 	}
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
-	for _, r := range requests {
+	for i, r := range requests {
+		_ = c.SetReadDeadline(time.Now().Add(giveUp))
 		r.sent = f.now()
 		if _, err := io.WriteString(c, r.text()); err != nil {
 			r.err = err
+			return
 		}
-	}
-	_ = c.SetReadDeadline(time.Now().Add(giveUp))
-	for i, r := range requests {
 		last, err := r.readAnswer(reader)
-		r.ended = f.now()
-		if err == nil && !last {
-			continue
+		r.err, r.ended = err, f.now()
+		if err != nil || last {
+			for _, rest := range requests[i+1:] {
+				rest.err = errors.New("not sent")
+			}
+			return
 		}
-		if err == nil {
-			err = errors.New("sent behind an answer that closes the connection")
-			i++
-		}
-		for _, rest := range requests[i:] {
-			rest.err, rest.ended = err, f.now()
-		}
-		return
 	}
 }
 
@@ -88,9 +86,12 @@
 	if err != nil {
 		return true, err
 	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return true, err
 	}
-	r.status, r.sealed = resp.StatusCode, resp.Header.Get("X-Hawthornpoint-Response-Seal") != ""
+	seal := resp.Header.Get("X-Hawthornpoint-Response-Seal")
+	r.status, r.sealed, r.body = resp.StatusCode, seal != "", string(body)
+	r.mixed = r.status/100 == 2 && (!r.sealed || r.method != http.MethodHead && seal != sealOf(r.id, r.status, r.body))
 	return resp.Close, nil
 }
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -37,9 +38,12 @@
 type vm struct {
 	fleet             *fleet
 	name, ip, service string
-	id                string // of the upstream
-	daemon            *exec.Cmd
-	ended             chan struct{}
+	id                string      // of the upstream
+	chunked           atomic.Bool // answers have chunked bodies
+	// spoil changes spoiledShare of the answers of the backend server, whose connections are closed then; nil for none.
+	spoil  atomic.Pointer[spoiler]
+	daemon *exec.Cmd
+	ended  chan struct{}
 }
 
 // newFleet starts a store and, for each name of a service, a VM.
--- a/review/rig3/head.go
+++ b/review/rig3/head.go
@@ -16,11 +16,11 @@
 	// requests that exceed their timeout CONFIG allows to have no answer lateS after it.
 	mostLost, mostLate = 3, 7
 	lateS              = 0.5
-	headConnections    = 24
+	headRequests       = 24 // of each method
 )
 
-// playHead changes the timeout of a route to less than some of its requests take. Clients send such a HEAD request
-// and a short GET request behind it on one connection; others send the same with GET only.
+// playHead changes the timeout of a route to less than some of its requests take. Clients send such requests with GET
+// and with HEAD, each on a kept connection that has answered a request before.
 func playHead(binary string, trouble bool, record io.Writer) (broken bool, err error) {
 	timeout := 6.0
 	routes := []route{{"catalogo-ver", "/catalogo/", "safe", "vitrina", timeout}}
@@ -38,39 +38,35 @@
 		fmt.Fprintf(record, "%s: configuration 2 acknowledged, timeoutS of /catalogo/ is %v\n", f.now(), timeout)
 	}
 	time.Sleep(configWait)
-	lost := map[string]int{}
-	late, long := map[string]int{}, map[string]int{}
 	for _, method := range []string{"GET", "HEAD"} {
-		var wait sync.WaitGroup
-		var sent [][]*request
-		for i := range headConnections {
-			pair := []*request{newRequest(method, fmt.Sprintf("/catalogo/%d?work=%d", i, longWorkMS)), newRequest("GET", fmt.Sprintf("/catalogo/%d", i))}
-			sent = append(sent, pair)
-			v := f.vms[i%len(f.vms)]
-			wait.Go(func() { v.send(pair...) })
-		}
-		wait.Wait()
-		for _, pair := range sent {
-			for _, r := range pair {
-				runs := f.history.of(r.id)
-				fmt.Fprintf(record, "%s %s %s sent %s, run by %d upstreams, %s after %s\n", r.id, r.method, r.target, r.sent, len(runs), r.outcome(), r.ended-r.sent)
-				if len(runs) > 0 && r.status == 0 {
-					lost[method]++
-				}
+		long := sendLong(f, method)
+		lost, late := 0, 0
+		for _, r := range long {
+			runs, took := f.history.of(r.id), r.ended-r.sent
+			fmt.Fprintf(record, "%s %s %s sent %s, run by %d upstreams, %s after %s\n", r.id, r.method, r.target, r.sent, len(runs), r.outcome(), took)
+			if len(runs) > 0 && r.status == 0 {
+				lost++
 			}
-			if r := pair[0]; longWorkMS > timeout*1000 {
-				long[method]++
-				if r.status == 0 || (r.ended-r.sent).Seconds() > timeout+lateS {
-					late[method]++
-				}
+			if longWorkMS > timeout*1000 && (r.status == 0 || took.Seconds() > timeout+lateS) {
+				late++
 			}
 		}
-	}
-	for _, method := range []string{"GET", "HEAD"} {
-		fmt.Fprintf(record, "with a long %s first: %d requests were passed on and their connection closed without an answer (LOST allows %d); "+
-			"of %d requests that exceeded the timeout %d had no answer %v s after it (CONFIG: under 8, or a quarter)\n",
-			method, lost[method], mostLost, long[method], late[method], lateS)
-		broken = broken || lost[method] > mostLost || late[method] > mostLate && 4*late[method] > long[method]
+		fmt.Fprintf(record, "%d %s requests: %d were passed on and their connection closed without an answer (LOST allows %d); "+
+			"%d that exceeded their timeout had no final answer %v s after it (CONFIG: under 8, or a quarter)\n", len(long), method, lost, mostLost, late, lateS)
+		broken = broken || lost > mostLost || late > mostLate && 4*late > len(long)
 	}
 	return broken, nil
 }
+
+// sendLong sends requests that take longWorkMS at the same time, each on a connection of its own, behind the answer to a short one.
+func sendLong(f *fleet, method string) []*request {
+	var long []*request
+	var clients sync.WaitGroup
+	for i := range headRequests {
+		r := newRequest(method, fmt.Sprintf("/catalogo/%d?work=%d", i, longWorkMS))
+		long = append(long, r)
+		clients.Go(func() { f.vms[i%len(f.vms)].sendInTurn(newRequest("GET", "/catalogo/first"), r) })
+	}
+	clients.Wait()
+	return long
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -10,14 +10,20 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 )
 
+// longestCase bounds the time of a case.
+const longestCase = 110 * time.Second
+
 // play plays one case and reports whether its rule was broken.
 type play func(binary string, trouble bool, record io.Writer) (broken bool, err error)
 
 var cases = map[string]play{
-	"head": playHead,
-	"path": playPath,
+	"version": playGarble(wrongVersion),
+	"seal":    playGarble(wrongSealName),
+	"head":    playHead,
+	"path":    playPath,
 }
 
 func main() {
@@ -36,6 +42,10 @@
 	}
 	defer func() { _ = record.Close() }()
 	out := io.MultiWriter(record, os.Stdout)
+	time.AfterFunc(longestCase, func() {
+		fmt.Fprintln(out, "the case did not end in time")
+		os.Exit(2) // the daemons get SIGKILL with this process
+	})
 	broken, err := cases[args[0]](args[1], args[3] != "0", out)
 	switch {
 	case err != nil:
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -14,6 +15,9 @@
 	"time"
 )
 
+// timerLateness is how late the timers of a backend server fire.
+const timerLateness = 5 * time.Millisecond
+
 // run is a request that a backend server began to work on.
 type run struct {
 	upstream, service, method, target string
@@ -38,6 +42,9 @@
 	return h.runs[id]
 }
 
+// spoiler returns an answer with wrong bytes.
+type spoiler func(answer string) string
+
 // sealOf is the receipt of an answer.
 func sealOf(id string, status int, body string) string {
 	sum := sha256.Sum256([]byte(fmt.Sprint(id, " ", status, " ", body)))
@@ -75,7 +82,13 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if _, err := io.WriteString(c, v.answer(r)); err != nil {
+		answer := v.answer(r)
+		spoil := v.spoil.Load()
+		spoiled := spoil != nil && rand.Float64() < spoiledShare
+		if spoiled {
+			answer = (*spoil)(answer)
+		}
+		if _, err := io.WriteString(c, answer); err != nil || spoiled {
 			return
 		}
 	}
@@ -102,9 +115,15 @@
 	if err == nil && left < work {
 		work, status, text = left, 504, "504 Gateway Timeout"
 	}
-	time.Sleep(time.Duration(work) * time.Millisecond)
+	time.Sleep(time.Duration(work)*time.Millisecond + timerLateness)
 	body := "answer to " + id + "\n"
-	head += fmt.Sprintf("X-Hawthornpoint-Response-Seal: %s\r\nContent-Length: %d\r\n\r\n", sealOf(id, status, body), len(body))
+	head += fmt.Sprintf("X-Hawthornpoint-Response-Seal: %s\r\n", sealOf(id, status, body))
+	if v.chunked.Load() {
+		head += "Transfer-Encoding: chunked\r\n\r\n"
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	} else {
+		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+	}
 	if r.Method == http.MethodHead {
 		body = ""
 	}
