--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -35,8 +35,12 @@
 }
 
 func (r *request) text() string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Hawthornpoint-Request-Id: %s\r\nX-Hawthornpoint-Deadline-Ms: %d\r\n\r\n",
-		r.method, r.target, routeHost, r.id, timeLimit.Milliseconds())
+	length := ""
+	if r.method == http.MethodPost {
+		length = "Content-Length: 0\r\n"
+	}
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Hawthornpoint-Request-Id: %s\r\nX-Hawthornpoint-Deadline-Ms: %d\r\n%s\r\n",
+		r.method, r.target, routeHost, r.id, timeLimit.Milliseconds(), length)
 }
 
 // outcome says what the client saw.
--- a/review/rig3/garble.go
+++ b/review/rig3/garble.go
@@ -11,7 +11,7 @@
 	// spoiledShare is the share of its answers that a faulty upstream spoils.
 	spoiledShare   = 0.05
 	garbleClients  = 8
-	garbleRequests = 150 // of each client
+	garbleRequests = 300 // of each client
 )
 
 // wrongVersion spoils one byte of an answer: its version is HTTP/1.0.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]play{
 	"version": playGarble(wrongVersion),
 	"seal":    playGarble(wrongSealName),
+	"refused": playRefused,
 	"head":    playHead,
 	"path":    playPath,
 }
