Tests: sound heads of backend servers bear a seal

Answers that tests take for sound, or as broken in one stated way, had no seal. Two of these tests expect 200 at the caller (TestAnswerHeadCutShort, TestUpstreamThatReadsLongBodyLate); the others expect a failure and would pass for the missing seal once that is checked, instead of for the fault that they are about.

All checks and bounds stay as they are.

--- a/harness/e2e/endless_test.go
+++ b/harness/e2e/endless_test.go
@@ -28,7 +28,7 @@
 // endlessAnswers returns the forms of an answer without end: its begin, with the ID of the request for %s,
 // and the part that follows again and again.
 func endlessAnswers() [][2]string {
-	const head = "HTTP/1.1 200 OK\r\nX-Hawthornpoint-Request-Id: %s\r\n"
+	const head = "HTTP/1.1 200 OK\r\nX-Hawthornpoint-Request-Id: %s\r\nX-Hawthornpoint-Response-Seal: s\r\n"
 	filler := strings.Repeat("\x80", 16<<10)
 	return [][2]string{
 		{"", filler},
