Broken answers: a status alone is no refusal

Cause: the statement of a refusal (a field) decided whether a request counted as run, the status was passed on, and nothing held one against the other. A sealed 503 without the field was a failure of the upstream for the daemon and a guarantee for the caller.

Change: core/answerclass classifies an answer from status and statement in one place. A status that guarantees "not run" without the statement is broken: treated as lost, its connection closed, nothing of it passed on, counted and logged with status and what was missing. The daemon of the caller applies the same to replies of other daemons. A broken answer is an answer: it leads to no check for a crash.

Why it works: whether a request may be sent again and what the caller is told now come from the same class.

--- /dev/null
+++ b/core/answerclass/answerclass.go
@@ -0,0 +1,65 @@
+package answerclass
+
+// Head holds what the head of an answer says about its request.
+type Head struct {
+	// ServerError says that the status is that of a server that failed.
+	ServerError bool
+	// GuaranteesNotRun says that callers take the status for a guarantee that the request has not run and never will.
+	GuaranteesNotRun bool
+	// NotNamedInstance says that the status is that of a server which is not the one that the request names.
+	NotNamedInstance bool
+	// StatesNotRun says that the answer bears the statement that the request was not run.
+	StatesNotRun bool
+}
+
+// Class is what an answer says about its request.
+type Class uint8
+
+// Classes.
+const (
+	// Broken: the head contradicts itself or lacks what its status requires. The request may have run.
+	Broken Class = iota
+	// Answered: the request has run, and the answer is passed on.
+	Answered
+	// Failed: the request has run and the server failed; the answer is passed on.
+	Failed
+	// NotRun: the server did not run the request.
+	NotRun
+	// Misdirected: the server is not the one that the request names, and did not run it.
+	Misdirected
+)
+
+// Refused reports whether the request was not run.
+func (c Class) Refused() bool { return c == NotRun || c == Misdirected }
+
+// Defect says why an answer is Broken, for counters and logs.
+type Defect string
+
+// Defects.
+const (
+	// UnstatedRefusal: the status says that the request was not run, and the statement is missing.
+	UnstatedRefusal Defect = "unstated_refusal"
+)
+
+// Explain describes the defect, to follow the status.
+func (d Defect) Explain() string {
+	if d == UnstatedRefusal {
+		return "without the statement that the request was not run"
+	}
+	return ""
+}
+
+// Classify returns the class of an answer and, for Broken, why it is broken.
+func Classify(h Head) (Class, Defect) {
+	switch {
+	case h.NotNamedInstance:
+		return Misdirected, ""
+	case h.StatesNotRun:
+		return NotRun, ""
+	case h.GuaranteesNotRun:
+		return Broken, UnstatedRefusal
+	case h.ServerError:
+		return Failed, ""
+	}
+	return Answered, ""
+}
--- a/internal/answercheck/answercheck.go
+++ b/internal/answercheck/answercheck.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/hawthornpoint/hawthornpoint/core/answerclass"
 	"github.com/hawthornpoint/hawthornpoint/internal/connend"
 	"github.com/hawthornpoint/hawthornpoint/internal/finalstatus"
 )
@@ -16,7 +17,7 @@
 // Reason says in what way an answer is broken, for counters.
 type Reason string
 
-// Reasons.
+// Reasons. Those of Contradiction are the defects of package answerclass.
 const (
 	Status    Reason = "invalid_status" // outside the protocol, or 101
 	Field     Reason = "invalid_field"  // a field of a head or of a trailer can't be read, or its name is no token
@@ -47,6 +48,18 @@
 	return ""
 }
 
+// Contradiction returns the error of an answer whose head contradicts itself. Its reason is the defect.
+func Contradiction(status int, defect answerclass.Defect) *Error {
+	return &Error{Reason(defect), fmt.Sprintf("status %03d %s", status, defect.Explain())}
+}
+
+// Invalid reports whether an error of reading an answer says that the server wrote one that is not valid, and not that
+// its connection failed.
+func Invalid(err error) bool {
+	reason := ReasonOf(err)
+	return reason != "" && reason != FailedEnd
+}
+
 // Head returns an *Error if the head of an answer, final or interim, is not valid.
 func Head(status int, header http.Header) error {
 	if finalstatus.Interim(status) {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -109,6 +109,8 @@
 		return fmt.Sprintf("the backend server of upstream %s accepted no connection", l.Get("upstream"))
 	case l.Get("reason") == "time_over":
 		return fmt.Sprintf("the time was over %s s after the request went to the backend server of upstream %s", l.Get("elapsed"), l.Get("upstream"))
+	case l.Get("reason") == "broken_answer":
+		return fmt.Sprintf("the backend server of upstream %s answered after %s s with a broken answer, and may have run the request: %s", l.Get("upstream"), l.Get("elapsed"), l.Get("error"))
 	case l.Get("reason") == "canceled":
 		return fmt.Sprintf("it was ended %s s after it went to the backend server of upstream %s: its caller left, or the connection to the daemon that had sent it broke", l.Get("elapsed"), l.Get("upstream"))
 	}
--- a/mesh/answer.go
+++ b/mesh/answer.go
@@ -6,8 +6,10 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/answerclass"
 	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 	"github.com/hawthornpoint/hawthornpoint/internal/answercheck"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
@@ -41,7 +43,16 @@
 	if a.header, err = d.headers.unpack(a.answer.Header); err != nil {
 		return err
 	}
-	return answercheck.Final(a.answer.Status, a.header)
+	if err := answercheck.Final(a.answer.Status, a.header); err != nil {
+		return err
+	}
+	switch class, defect := answerclass.Classify(d.convention.Run(a.answer.Status, a.header)); {
+	case class == answerclass.Broken:
+		return answercheck.Contradiction(a.answer.Status, defect)
+	case class.Refused():
+		return errors.Errorf("status %d of a request that was not run, passed on as an answer", a.answer.Status)
+	}
+	return nil
 }
 
 // holdPart counts a part of an answer in the memory budget, until release is called.
--- a/mesh/interfaces.go
+++ b/mesh/interfaces.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hawthornpoint/hawthornpoint/core/answerclass"
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 	"github.com/hawthornpoint/hawthornpoint/core/replica"
 	"github.com/hawthornpoint/hawthornpoint/core/routing"
@@ -43,12 +44,8 @@
 	// NamesOtherRequest that it carries the ID of another one. For an answer without an ID,
 	// both may be false.
 	MatchesRequest, NamesOtherRequest bool
-	// NotExecuted says that the backend server did not run the request.
-	NotExecuted bool
-	// WrongUpstream says that another upstream is at the address.
-	WrongUpstream bool
-	// Failed says that the backend server ran the request and failed.
-	Failed bool
+	// Run is what the answer says about the run of the request.
+	Run answerclass.Head
 	// Rate is the number of requests a second that the backend server takes from all VMs
 	// together, valid if StatesRate is set.
 	Rate       float64
@@ -74,6 +71,8 @@
 	// Answer reads the metadata of an answer. id is the ID of the request that was sent. The
 	// header with the ID is removed from h; Restore sets it again.
 	Answer(id string, status int, h http.Header) AnswerHead
+	// Run reads what an answer says about the run of its request, also from one that another daemon passes on.
+	Run(status int, h http.Header) answerclass.Head
 	// Restore sets the ID of the request in the header of an answer that is passed on.
 	Restore(id string, h http.Header)
 	// Refuse sets the headers of a final answer of the daemon itself and returns its status.
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -12,8 +12,10 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/answerclass"
 	"github.com/hawthornpoint/hawthornpoint/core/callgraph"
 	"github.com/hawthornpoint/hawthornpoint/core/slots"
+	"github.com/hawthornpoint/hawthornpoint/internal/answercheck"
 	"github.com/hawthornpoint/hawthornpoint/internal/hopheader"
 )
 
@@ -249,8 +251,13 @@
 		outcome, reason = OutcomeExpired, "time_over"
 	case a.ctx.Err() != nil:
 		reason = "canceled"
+	case answercheck.Invalid(err):
+		reason = "broken_answer"
 	}
-	if sent {
+	switch {
+	case answercheck.Invalid(err):
+		d.recordRunEnd(a, false) // the backend server has answered, so that it has not crashed in the run
+	case sent:
 		d.recordLostRun(a, err)
 	}
 	if outcome == OutcomeUnsent || outcome == OutcomeRefused {
@@ -276,17 +283,23 @@
 		ex.abort()
 		return d.replyWithoutAnswer(ctx, a, true, started, errors.New("the answer belongs to another request"))
 	}
-	ex.refusal = head.NotExecuted
+	class, defect := answerclass.Classify(head.Run)
+	if class == answerclass.Broken {
+		err := answercheck.Contradiction(ex.response.StatusCode, defect)
+		ex.fail(err)
+		return d.replyWithoutAnswer(ctx, a, true, started, err)
+	}
+	ex.refusal = class.Refused()
 	data, last, err := readPart(ex.response.Body, d.partBytes(a.answerPart), ex.response.ContentLength)
 	if err != nil {
 		ex.fail(err)
 		return d.replyWithoutAnswer(ctx, a, true, started, errors.Wrap(err, "read body"))
 	}
 	elapsed := time.Since(started)
-	d.recordStatements(a, head, started)
-	d.recordRunEnd(a, last && !head.NotExecuted && !head.Failed)
-	d.releaseSlot(a, slots.Outcome{Elapsed: elapsed, Rejected: head.NotExecuted, Failed: head.Failed})
-	d.metrics.Observe(metricBackendTime, elapsed, a.kind, exchangeOutcome(head))
+	d.recordStatements(a, head, class, started)
+	d.recordRunEnd(a, last && class == answerclass.Answered)
+	d.releaseSlot(a, slots.Outcome{Elapsed: elapsed, Rejected: class.Refused(), Failed: class == answerclass.Failed})
+	d.metrics.Observe(metricBackendTime, elapsed, a.kind, exchangeOutcome(class))
 	switch {
 	case last:
 		ex.finish()
@@ -297,16 +310,16 @@
 	default:
 		a.rest, a.left = ex, max(ex.response.ContentLength-int64(len(data)), -1)
 	}
-	if head.WrongUpstream {
+	if class == answerclass.Misdirected {
 		return d.reply(a, OutcomeWrongUpstream, slots.Decision{Reason: "other_instance"})
 	}
 	var r Reply
-	if head.NotExecuted {
+	if class == answerclass.NotRun {
 		r = d.reply(a, OutcomeRejected, slots.Decision{Reason: "backend_refused"})
 	} else {
 		r = d.reply(a, OutcomeAnswered, slots.Decision{})
 		r.Answer = &Answer{
-			Status: ex.response.StatusCode, Header: d.headers.pack(hopheader.EndToEnd(ex.response.Header)), Failed: head.Failed,
+			Status: ex.response.StatusCode, Header: d.headers.pack(hopheader.EndToEnd(ex.response.Header)), Failed: class == answerclass.Failed,
 			Body: data, More: !last, Elapsed: elapsed,
 		}
 	}
@@ -314,11 +327,11 @@
 	return r
 }
 
-func exchangeOutcome(head AnswerHead) string {
+func exchangeOutcome(class answerclass.Class) string {
 	switch {
-	case head.NotExecuted:
+	case class.Refused():
 		return "not_run"
-	case head.Failed:
+	case class == answerclass.Failed:
 		return "failed"
 	}
 	return "answered"
--- a/mesh/statements.go
+++ b/mesh/statements.go
@@ -5,23 +5,24 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hawthornpoint/hawthornpoint/core/answerclass"
 	"github.com/hawthornpoint/hawthornpoint/core/directory"
 )
 
 // recordStatements records what an answer states about the backend server. sent is when its
 // request was sent.
-func (d *Daemon) recordStatements(a *localAttempt, head AnswerHead, sent time.Time) {
+func (d *Daemon) recordStatements(a *localAttempt, head AnswerHead, class answerclass.Class, sent time.Time) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if head.WrongUpstream {
+	if class == answerclass.Misdirected {
 		if d.replacement.RecordMisdirected(now, a.instance) {
 			d.log.Info(eventReplaced, zap.String("id", a.requestID), zap.String("upstream", a.instance))
 		}
 		return
 	}
 	d.replacement.RecordAnswered(a.instance)
-	d.recordRate(now, a, head, sent)
+	d.recordRate(now, a, head, class, sent)
 	if local, _ := d.dir.At(d.settings.BackendAddress); head.Leaving && local.ID == a.instance {
 		d.markLeaving(local, a.requestID, "answer")
 	}
@@ -53,7 +54,7 @@
 // recordRate limits the rate of requests as the answer states, or ends the limit. An answer to a
 // request that was not run ends none, because some of these are written without knowledge of the
 // backend server's state. An answer whose rate can't be read changes nothing. d.mu is held.
-func (d *Daemon) recordRate(now time.Time, a *localAttempt, head AnswerHead, sent time.Time) {
+func (d *Daemon) recordRate(now time.Time, a *localAttempt, head AnswerHead, class answerclass.Class, sent time.Time) {
 	previous := d.limiter.Rate()
 	if head.InvalidRate != d.invalidRate {
 		d.invalidRate = head.InvalidRate
@@ -70,7 +71,7 @@
 			d.log.Info(eventRateStated, zap.String("id", a.requestID), zap.String("upstream", a.instance),
 				zap.Float64("stated", head.Rate), zap.Float64("rate", rate), zap.Float64("previous", previous))
 		}
-	case !head.NotExecuted && d.limiter.EndRate(sent):
+	case !class.Refused() && d.limiter.EndRate(sent):
 		d.log.Info(eventRateEnded, zap.String("id", a.requestID), zap.String("upstream", a.instance), zap.Float64("previous", previous))
 	}
 }
