Broken answers: a 421 with the seal of a run is no misdirection

What callers saw: 200; but the order had run at two upstreams (TWICE).

Cause: status 421 alone counted as the statement that the request was not run, so that the dispatcher sent it to the next upstream.

Change: core/answerclass takes a 421 with a seal and without the statement as an unstated refusal. Without a seal it is believed as before.

Why it works: an upstream seals the answers of its runs, so that a spoiled status does not hide one.

--- a/core/answerclass/answerclass.go
+++ b/core/answerclass/answerclass.go
@@ -10,6 +10,8 @@
 	NotNamedInstance bool
 	// StatesNotRun says that the answer bears the statement that the request was not run.
 	StatesNotRun bool
+	// Sealed says that the answer bears the seal of a run.
+	Sealed bool
 }
 
 // Class is what an answer says about its request.
@@ -52,11 +54,11 @@
 // Classify returns the class of an answer and, for Broken, why it is broken.
 func Classify(h Head) (Class, Defect) {
 	switch {
-	case h.NotNamedInstance:
+	case h.NotNamedInstance && (h.StatesNotRun || !h.Sealed):
 		return Misdirected, ""
 	case h.StatesNotRun:
 		return NotRun, ""
-	case h.GuaranteesNotRun:
+	case h.NotNamedInstance, h.GuaranteesNotRun:
 		return Broken, UnstatedRefusal
 	case h.ServerError:
 		return Failed, ""
--- a/core/answerclass/answerclass_test.go
+++ b/core/answerclass/answerclass_test.go
@@ -11,7 +11,9 @@
 	for _, status := range []Head{{}, {ServerError: true}, {GuaranteesNotRun: true},
 		{ServerError: true, GuaranteesNotRun: true}, {GuaranteesNotRun: true, NotNamedInstance: true}} {
 		for _, status.StatesNotRun = range []bool{false, true} {
-			f(status)
+			for _, status.Sealed = range []bool{false, true} {
+				f(status)
+			}
 		}
 	}
 }
@@ -26,6 +28,9 @@
 			if class == Answered || class == Failed {
 				So(h.GuaranteesNotRun || h.NotNamedInstance || h.StatesNotRun, ShouldBeFalse)
 			}
+			if class == Misdirected {
+				So(h.StatesNotRun || !h.Sealed, ShouldBeTrue)
+			}
 			if class == NotRun {
 				So(h.StatesNotRun, ShouldBeTrue)
 			}
@@ -36,12 +41,16 @@
 		class  Class
 		defect Defect
 	}{
-		"error of the request":      {Head{}, Answered, ""},
-		"failure":                   {Head{ServerError: true}, Failed, ""},
+		"error of the request":      {Head{Sealed: true}, Answered, ""},
+		"failure":                   {Head{ServerError: true, Sealed: true}, Failed, ""},
+		"failure without a seal":    {Head{ServerError: true}, Failed, ""},
 		"refusal":                   {Head{ServerError: true, GuaranteesNotRun: true, StatesNotRun: true}, NotRun, ""},
 		"refusal by another status": {Head{StatesNotRun: true}, NotRun, ""},
-		"status of a refusal":       {Head{ServerError: true, GuaranteesNotRun: true}, Broken, UnstatedRefusal},
+		"status of a refusal":       {Head{ServerError: true, GuaranteesNotRun: true, Sealed: true}, Broken, UnstatedRefusal},
+		"the same without a seal":   {Head{GuaranteesNotRun: true}, Broken, UnstatedRefusal},
 		"another instance":          {Head{GuaranteesNotRun: true, NotNamedInstance: true}, Misdirected, ""},
+		"the same, stated":          {Head{GuaranteesNotRun: true, NotNamedInstance: true, StatesNotRun: true, Sealed: true}, Misdirected, ""},
+		"the same from a run":       {Head{GuaranteesNotRun: true, NotNamedInstance: true, Sealed: true}, Broken, UnstatedRefusal},
 	} {
 		Convey(name, t, func() {
 			class, defect := Classify(c.head)
