Broken answers: a success needs the seal of its run

Cause: an answer was matched to its request by the request's ID alone. A success with the statement "not run" counted as a refusal, so that its order, which had run, got 503.

Change: core/answerclass takes a success without a seal, or with that statement, for broken, in the answers of the backend server and in the replies of other daemons.

Why it works: what a success needs is judged where its status and statement are, before any part is passed on.

--- a/core/answerclass/answerclass.go
+++ b/core/answerclass/answerclass.go
@@ -2,8 +2,8 @@
 
 // Head holds what the head of an answer says about its request.
 type Head struct {
-	// ServerError says that the status is that of a server that failed.
-	ServerError bool
+	// Success says that the status is that of a successful run, and ServerError that the server failed.
+	Success, ServerError bool
 	// GuaranteesNotRun says that callers take the status for a guarantee that the request has not run and never will.
 	GuaranteesNotRun bool
 	// NotNamedInstance says that the status is that of a server which is not the one that the request names.
@@ -41,12 +41,21 @@
 const (
 	// UnstatedRefusal: the status says that the request was not run, and the statement is missing.
 	UnstatedRefusal Defect = "unstated_refusal"
+	// UnsealedSuccess: a success without a seal.
+	UnsealedSuccess Defect = "unsealed_success"
+	// RefusedSuccess: a success with the statement that the request was not run.
+	RefusedSuccess Defect = "refused_success"
 )
 
 // Explain describes the defect, to follow the status.
 func (d Defect) Explain() string {
-	if d == UnstatedRefusal {
+	switch d {
+	case UnstatedRefusal:
 		return "without the statement that the request was not run"
+	case UnsealedSuccess:
+		return "without a seal"
+	case RefusedSuccess:
+		return "with the statement that the request was not run"
 	}
 	return ""
 }
@@ -54,12 +63,16 @@
 // Classify returns the class of an answer and, for Broken, why it is broken.
 func Classify(h Head) (Class, Defect) {
 	switch {
+	case h.Success && h.StatesNotRun:
+		return Broken, RefusedSuccess
 	case h.NotNamedInstance && (h.StatesNotRun || !h.Sealed):
 		return Misdirected, ""
 	case h.StatesNotRun:
 		return NotRun, ""
 	case h.NotNamedInstance, h.GuaranteesNotRun:
 		return Broken, UnstatedRefusal
+	case h.Success && !h.Sealed:
+		return Broken, UnsealedSuccess
 	case h.ServerError:
 		return Failed, ""
 	}
--- a/core/answerclass/answerclass_test.go
+++ b/core/answerclass/answerclass_test.go
@@ -8,7 +8,7 @@
 
 // everyHead calls f with each combination of a status, a statement and a seal.
 func everyHead(f func(Head)) {
-	for _, status := range []Head{{}, {ServerError: true}, {GuaranteesNotRun: true},
+	for _, status := range []Head{{}, {Success: true}, {ServerError: true}, {GuaranteesNotRun: true},
 		{ServerError: true, GuaranteesNotRun: true}, {GuaranteesNotRun: true, NotNamedInstance: true}} {
 		for _, status.StatesNotRun = range []bool{false, true} {
 			for _, status.Sealed = range []bool{false, true} {
@@ -27,12 +27,16 @@
 			So(defect == "", ShouldEqual, defect.Explain() == "")
 			if class == Answered || class == Failed {
 				So(h.GuaranteesNotRun || h.NotNamedInstance || h.StatesNotRun, ShouldBeFalse)
+				So(h.Success && !h.Sealed, ShouldBeFalse)
+			}
+			if class == NotRun {
+				So(h.StatesNotRun, ShouldBeTrue)
 			}
 			if class == Misdirected {
 				So(h.StatesNotRun || !h.Sealed, ShouldBeTrue)
 			}
-			if class == NotRun {
-				So(h.StatesNotRun, ShouldBeTrue)
+			if class.Refused() {
+				So(h.Success, ShouldBeFalse)
 			}
 		})
 	})
@@ -41,6 +45,7 @@
 		class  Class
 		defect Defect
 	}{
+		"success":                   {Head{Success: true, Sealed: true}, Answered, ""},
 		"error of the request":      {Head{Sealed: true}, Answered, ""},
 		"failure":                   {Head{ServerError: true, Sealed: true}, Failed, ""},
 		"failure without a seal":    {Head{ServerError: true}, Failed, ""},
@@ -51,6 +56,8 @@
 		"another instance":          {Head{GuaranteesNotRun: true, NotNamedInstance: true}, Misdirected, ""},
 		"the same, stated":          {Head{GuaranteesNotRun: true, NotNamedInstance: true, StatesNotRun: true, Sealed: true}, Misdirected, ""},
 		"the same from a run":       {Head{GuaranteesNotRun: true, NotNamedInstance: true, Sealed: true}, Broken, UnstatedRefusal},
+		"success without a seal":    {Head{Success: true}, Broken, UnsealedSuccess},
+		"success that was not run":  {Head{Success: true, StatesNotRun: true, Sealed: true}, Broken, RefusedSuccess},
 	} {
 		Convey(name, t, func() {
 			class, defect := Classify(c.head)
--- a/core/answerclass/doc.go
+++ b/core/answerclass/doc.go
@@ -8,6 +8,7 @@
 //     it the request may have run.
 //   - A server that is not the one that the request names says so with a status of its own, with or without the statement. Without it, a
 //     seal shows that the answer is that of a run.
+//   - A success counts with a seal and without the statement only.
 //
 // Everything else is an answer of the server's run, or Broken: the request may have run, nothing of the answer may reach the
 // caller, and the connection is not used again.
--- a/mesh/peerroom_test.go
+++ b/mesh/peerroom_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/hawthornpoint/hawthornpoint/core/answerclass"
 	"github.com/hawthornpoint/hawthornpoint/core/membudget"
 )
 
@@ -20,7 +21,7 @@
 type matchingConvention struct{ conventionStub }
 
 func (matchingConvention) Answer(string, int, http.Header) AnswerHead {
-	return AnswerHead{MatchesRequest: true}
+	return AnswerHead{MatchesRequest: true, Run: answerclass.Head{Success: true, Sealed: true}}
 }
 
 // heldBackend is a backend server that answers no request before release is closed.
