Broken answers: a status has to fit its content and its request

What callers saw: 204, 205, 206 or 304 with the seal of a 200, and no body or one that claims to be a part (MIXED).

Cause: net/http reads content by the status, and does not hold 206 and 304 against the request. Both data paths passed on what it returned. Ruled out: that it hides the framing of a 204; both fields can be read there.

Change: answercheck.Content compares status, framing and request as RFC 9110 has them, in mesh after the answer was matched to its request, for replies of other daemons and in answercheck.Transport (daemon, store, configuration service).

Why it works: a spoiled status of a 200 keeps the framing of its content and answers a request that did not ask for it.

A 204 with Content-Length: 0 stays sound.

--- a/daemon/invalid_answer_test.go
+++ b/daemon/invalid_answer_test.go
@@ -72,6 +72,10 @@
 			"blank in a name of an interim answer":  "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n{result}Content-Length: 5\r\n\r\nwhole",
 			"interim answers without end":           strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 5000) + "HTTP/1.1 200 OK\r\n{result}Content-Length: 5\r\n\r\nwhole",
 		}
+		for _, status := range []string{"204", "205", "206", "304"} {
+			invalid["status "+status+", sized"] = fmt.Sprintf("HTTP/1.1 %s Odd\r\n{result}Content-Length: 5\r\n\r\nwhole", status)
+			invalid["status "+status+", chunked"] = fmt.Sprintf("HTTP/1.1 %s Odd\r\n{result}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", status)
+		}
 		for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
 			invalid["status "+status] = fmt.Sprintf("HTTP/1.1 %s Odd\r\n{result}Content-Length: 0\r\n\r\n", status)
 		}
--- a/internal/answercheck/answercheck.go
+++ b/internal/answercheck/answercheck.go
@@ -19,9 +19,11 @@
 
 // Reasons. Those of Contradiction are the defects of package answerclass.
 const (
-	Status    Reason = "invalid_status" // outside the protocol, or 101
-	Field     Reason = "invalid_field"  // a field of a head or of a trailer can't be read, or its name is no token
-	FailedEnd Reason = "failed_end"     // the connection failed in an answer without a length
+	Status Reason = "invalid_status" // outside the protocol, or 101
+	Field  Reason = "invalid_field"  // a field of a head or of a trailer can't be read, or its name is no token
+	// StatusMismatch: the status does not fit the content or the request.
+	StatusMismatch Reason = "status_mismatch"
+	FailedEnd      Reason = "failed_end" // the connection failed in an answer without a length
 )
 
 // Error is what is wrong with an answer.
@@ -76,7 +78,8 @@
 	return checkNames(header)
 }
 
-// Body returns the body of an answer. Reading it fails with an *Error in place of io.EOF if the trailer behind it is not valid.
+// Body returns the body of an answer. Reading it fails with an *Error in place of io.EOF if the trailer behind it is not valid, and
+// at the first byte behind a status 205.
 func Body(resp *http.Response) io.ReadCloser {
 	if resp.Body == http.NoBody {
 		return resp.Body
@@ -92,6 +95,9 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if n > 0 && b.response.StatusCode == http.StatusResetContent {
+		return 0, &Error{StatusMismatch, "status 205 with content"}
+	}
 	if err == io.EOF {
 		if invalid := checkNames(b.response.Trailer); invalid != nil {
 			return n, invalid
--- /dev/null
+++ b/internal/answercheck/content.go
@@ -0,0 +1,45 @@
+package answercheck
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// Content returns an *Error if the status of a final answer does not fit its framing or the request that it answers (RFC 9110, 15.3.5 to 15.3.7
+// and 15.4.5). resp.Request is that request. Body checks a status 205 whose length is not stated.
+func Content(resp *http.Response) error {
+	problem := ""
+	switch resp.StatusCode {
+	case http.StatusNoContent:
+		// Some servers send a length of 0, which RFC 9110, 8.6, does not allow and which hides nothing.
+		if length := resp.Header.Get("Content-Length"); length != "" && length != "0" || len(resp.TransferEncoding) > 0 || resp.ContentLength > 0 {
+			problem = "with content"
+		}
+	case http.StatusResetContent:
+		if resp.ContentLength > 0 && resp.Request.Method != http.MethodHead {
+			problem = "with content"
+		}
+	case http.StatusPartialContent:
+		switch {
+		case resp.Request.Method != http.MethodGet || resp.Request.Header.Get("Range") == "":
+			problem = "to a request without a range"
+		case resp.Header.Get("Content-Range") == "" && !strings.HasPrefix(resp.Header.Get("Content-Type"), "multipart/byteranges"):
+			problem = "without a range"
+		}
+	case http.StatusNotModified:
+		if !isConditional(resp.Request) {
+			problem = "to a request without a condition"
+		}
+	}
+	if problem == "" {
+		return nil
+	}
+	return &Error{StatusMismatch, fmt.Sprintf("status %03d %s", resp.StatusCode, problem)}
+}
+
+// isConditional reports whether an answer to the request may say that its content has not been modified.
+func isConditional(r *http.Request) bool {
+	return (r.Method == http.MethodGet || r.Method == http.MethodHead) &&
+		(r.Header.Get("If-None-Match") != "" || r.Header.Get("If-Modified-Since") != "")
+}
--- a/internal/answercheck/transport.go
+++ b/internal/answercheck/transport.go
@@ -76,7 +76,11 @@
 		ex.report(err)
 		return nil, err
 	}
-	if err := Head(resp.StatusCode, resp.Header); err != nil {
+	err = Head(resp.StatusCode, resp.Header)
+	if err == nil {
+		err = Content(resp)
+	}
+	if err != nil {
 		_ = resp.Body.Close()
 		ex.report(err)
 		ex.endConn()
--- a/mesh/answer.go
+++ b/mesh/answer.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// unpackAnswer decodes and checks the head of an answer, if there is one.
-func (d *Daemon) unpackAnswer(a *pendingAnswer) (err error) {
+// unpackAnswer decodes and checks the head of an answer to the request, if there is one.
+func (d *Daemon) unpackAnswer(r *http.Request, a *pendingAnswer) (err error) {
 	if a == nil || a.answer == nil {
 		return nil
 	}
@@ -52,7 +52,11 @@
 	case class.Refused():
 		return errors.Errorf("status %d of a request that was not run, passed on as an answer", a.answer.Status)
 	}
-	return nil
+	length := int64(len(a.answer.Body))
+	if a.answer.More {
+		length++
+	}
+	return answercheck.Content(&http.Response{StatusCode: a.answer.Status, Header: a.header, ContentLength: length, Request: r})
 }
 
 // holdPart counts a part of an answer in the memory budget, until release is called.
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -269,7 +269,7 @@
 	if result == 0 {
 		result = c.classify(&reply)
 	}
-	if err := c.daemon.unpackAnswer(answer); err != nil {
+	if err := c.daemon.unpackAnswer(c.r, answer); err != nil {
 		// A peer of another version may pass on what this one refuses.
 		c.daemon.log.Info(eventExchangeFailed, zap.String("id", c.head.ID), zap.String("upstream", step.Upstream.ID),
 			zap.String("reason", "invalid_answer"), errorField(err))
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -285,7 +285,11 @@
 	}
 	class, defect := answerclass.Classify(head.Run)
 	if class == answerclass.Broken {
-		err := answercheck.Contradiction(ex.response.StatusCode, defect)
+		err = answercheck.Contradiction(ex.response.StatusCode, defect)
+	} else {
+		err = answercheck.Content(ex.response)
+	}
+	if err != nil {
 		ex.fail(err)
 		return d.replyWithoutAnswer(ctx, a, true, started, err)
 	}
