daemon: the refusal field decides alone, and no success bears it

What callers saw: a backend server's refusal with another status than 503 came back as an answer with result OK. With a spoiled 200 that was a success of a call that had not run, and the recorded answer of a call that runs at most once.

Cause: status 503 and Hawthornpoint-Refused were required together; anything else was an answer.

Change: the answers of the backend server are classified by core/answerclass. The field states the refusal with any status but a success; a success with it is invalid (attempt lost, answer_invalid, connection closed). answercheck.Transport takes a further check for this.

Why it works: the field is what states it, as its doc comment says.

--- a/callmeta/header.go
+++ b/callmeta/header.go
@@ -25,7 +25,7 @@
 	// HeaderResult carries Reply.
 	HeaderResult = "Hawthornpoint-Result"
 	// HeaderRefused is set by a backend server that refuses a call before
-	// running it. Its value is not interpreted.
+	// running it, with a status that is no success. Its value is not interpreted.
 	HeaderRefused = "Hawthornpoint-Refused"
 	// HeaderIdempotencyKey is the common header for the caller's idempotency key.
 	// It is read if HeaderKey is not set.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,6 +109,7 @@
 	d.ctx = d.workers.Context()
 	d.peers = d.newTransport(peerIdleConnections)
 	d.backend = d.newTransport(backendIdleConnections)
+	d.backend.SetCheck(checkRun)
 	d.control = exchange.NewClient(opts.Network.DialContext)
 	return d
 }
--- a/daemon/invalid_answer_test.go
+++ b/daemon/invalid_answer_test.go
@@ -72,6 +72,15 @@
 			"blank in a name of an interim answer":  "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n{result}Content-Length: 5\r\n\r\nwhole",
 			"interim answers without end":           strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 5000) + "HTTP/1.1 200 OK\r\n{result}Content-Length: 5\r\n\r\nwhole",
 		}
+		if place == "backend server" {
+			refused := "HTTP/1.1 %s Odd\r\n" + callmeta.HeaderRefused + ": 1\r\nContent-Length: 5\r\n\r\nwhole"
+			invalid["success that was refused"] = fmt.Sprintf(refused, "200")
+			for _, status := range []string{"503", "500", "429"} {
+				Convey("A refusal of the backend server says that the call was not run: "+status, t, func() {
+					So(send(fmt.Sprintf(refused, status)).code.Kind(), ShouldEqual, resultcode.NotRun)
+				})
+			}
+		}
 		for _, status := range []string{"204", "205", "206", "304"} {
 			invalid["status "+status+", sized"] = fmt.Sprintf("HTTP/1.1 %s Odd\r\n{result}Content-Length: 5\r\n\r\nwhole", status)
 			invalid["status "+status+", chunked"] = fmt.Sprintf("HTTP/1.1 %s Odd\r\n{result}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", status)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -8,7 +8,9 @@
 	"github.com/google/uuid"
 
 	"github.com/hawthornpoint/hawthornpoint/callmeta"
+	"github.com/hawthornpoint/hawthornpoint/core/answerclass"
 	"github.com/hawthornpoint/hawthornpoint/core/node"
+	"github.com/hawthornpoint/hawthornpoint/internal/answercheck"
 	"github.com/hawthornpoint/hawthornpoint/resultcode"
 )
 
@@ -282,13 +284,37 @@
 		return nil, resultcode.BackendDown
 	case err != nil:
 		return nil, s.backendFailureCode(ctx, resultcode.AttemptLost)
-	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(callmeta.HeaderRefused) != "":
+	case classify(resp).Refused():
 		_ = resp.Body.Close()
 		return nil, resultcode.BackendRefused
 	}
 	return resp, resultcode.OK
 }
 
+// runHead reads what an answer of the backend server says about the run of its call. Statuses promise nothing on this interface,
+// and answers bear no seal.
+func runHead(resp *http.Response) answerclass.Head {
+	return answerclass.Head{
+		Success:      resp.StatusCode/100 == 2,
+		ServerError:  resp.StatusCode >= http.StatusInternalServerError,
+		StatesNotRun: resp.Header.Get(callmeta.HeaderRefused) != "",
+		Sealed:       true,
+	}
+}
+
+func classify(resp *http.Response) answerclass.Class {
+	class, _ := answerclass.Classify(runHead(resp))
+	return class
+}
+
+// checkRun returns an error if an answer of the backend server contradicts itself about the run of its call.
+func checkRun(resp *http.Response) error {
+	if class, defect := answerclass.Classify(runHead(resp)); class == answerclass.Broken {
+		return answercheck.Contradiction(resp.StatusCode, defect)
+	}
+	return nil
+}
+
 // backendFailureCode returns the code of a call without a complete answer from the
 // backend server. If the backend server does not accept connections either, it is
 // considered crashed.
--- a/internal/answercheck/transport.go
+++ b/internal/answercheck/transport.go
@@ -24,6 +24,8 @@
 	*http.Transport
 	// invalid is called with the address of a server and what is wrong with its answer; it may be nil.
 	invalid func(address string, err error)
+	// check is a further check of the head of an answer; it may be nil.
+	check func(*http.Response) error
 }
 
 // NewTransport returns a Transport that sends requests with base. It changes base.
@@ -42,6 +44,10 @@
 	return &Transport{Transport: base, invalid: invalid}
 }
 
+// SetCheck sets a further check of the head of each answer, of a protocol above HTTP. It is called before the first request. An error is
+// reported if it is an *Error.
+func (t *Transport) SetCheck(check func(*http.Response) error) { t.check = check }
+
 // conn is a connection of an http.Transport.
 type conn struct {
 	*connend.Conn
@@ -80,6 +86,9 @@
 	if err == nil {
 		err = Content(resp)
 	}
+	if err == nil && t.check != nil {
+		err = t.check(resp)
+	}
 	if err != nil {
 		_ = resp.Body.Close()
 		ex.report(err)
