pipeline: the body of a response to HEAD is discarded

Cause: a response to HEAD has a length of 0, so that the body of a refusal failed as one that exceeds it, and a failed response ends the connection before its head is flushed.

Change: Write discards the body for HEAD, as net/http does; the handlers are written for that.

Why it works: no handler's write to HEAD fails any more, so that the head is flushed and the connection goes on.

TestBodyWrittenToHead failed before (the write returned an error) and passes.

--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -109,14 +109,15 @@
 }
 
 // Write implements http.ResponseWriter. It returns an error when the connection is closed,
-// the caller reads nothing for writeTimeout, or the body exceeds its Content-Length.
+// the caller reads nothing for writeTimeout, or the body exceeds its Content-Length. The body of a response to HEAD is
+// discarded.
 func (w *response) Write(p []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
 	if w.err != nil {
 		return 0, w.err
 	}
-	if len(p) == 0 {
-		return 0, nil
+	if len(p) == 0 || w.exchange.request.Method == http.MethodHead {
+		return len(p), nil
 	}
 	c := w.exchange.conn
 	var n int
