Broken answers: no Transfer-Encoding below HTTP/1.1

Cause: net/http takes Transfer-Encoding out of such a head and ignores it, so that the body is all that comes until the connection ends. RFC 9112, 6.1, calls that framing faulty.

Change: headlimit.Reader, which every head of the backend server passes, tells whether a head has the field. answercheck.Version refuses it below 1.1, and a major version other than 1.

Why it works: the field is seen before net/http removes it, in whatever parts the head arrives.

--- a/internal/answercheck/answercheck.go
+++ b/internal/answercheck/answercheck.go
@@ -21,6 +21,8 @@
 const (
 	Status Reason = "invalid_status" // outside the protocol, or 101
 	Field  Reason = "invalid_field"  // a field of a head or of a trailer can't be read, or its name is no token
+	// InvalidVersion: not HTTP/1.x, or one below 1.1 with Transfer-Encoding.
+	InvalidVersion Reason = "invalid_version"
 	// StatusMismatch: the status does not fit the content or the request.
 	StatusMismatch Reason = "status_mismatch"
 	FailedEnd      Reason = "failed_end" // the connection failed in an answer without a length
--- a/internal/answercheck/content.go
+++ b/internal/answercheck/content.go
@@ -6,6 +6,19 @@
 	"strings"
 )
 
+// Version returns an *Error if the version of an answer is not HTTP/1.x, or is below 1.1 although the head has a Transfer-Encoding field:
+// its framing is faulty then (RFC 9112, 6.1), and net/http leaves the lines of the chunks in the body. hasEncoding says whether the head has
+// that field, which net/http takes out of the header.
+func Version(resp *http.Response, hasEncoding bool) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return &Error{InvalidVersion, fmt.Sprintf("version %q", resp.Proto)}
+	case hasEncoding && !resp.ProtoAtLeast(1, 1):
+		return &Error{InvalidVersion, fmt.Sprintf("version %q with Transfer-Encoding", resp.Proto)}
+	}
+	return nil
+}
+
 // Content returns an *Error if the status of a final answer does not fit its framing or the request that it answers (RFC 9110, 15.3.5 to 15.3.7
 // and 15.4.5). resp.Request is that request. Body checks a status 205 whose length is not stated.
 func Content(resp *http.Response) error {
--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -37,8 +37,15 @@
 	inHead    bool // the empty line that ends the head has not been read
 	lineBegun bool // the current line has content
 	exceeded  bool
+	// encodingMatched is the number of bytes of encodingField with which the current line began, -1 if it differs. hasEncoding says that a
+	// line of the head began with all of them.
+	encodingMatched int
+	hasEncoding     bool
 }
 
+// encodingField is the name of the field that frames a message, in lower case and with the colon behind it.
+const encodingField = "transfer-encoding:"
+
 // NewReader returns a Reader that does not limit anything until Begin is called.
 func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
 
@@ -52,6 +59,7 @@
 // Next applies what is left of the limits to a further head, as Begin does.
 func (r *Reader) Next(buffered []byte) {
 	r.active, r.inHead, r.lineBegun = true, true, false
+	r.encodingMatched, r.hasEncoding = 0, false
 	r.count(buffered)
 }
 
@@ -61,6 +69,10 @@
 // Exceeded reports whether a head has exceeded a limit, also if it could be read completely.
 func (r *Reader) Exceeded() bool { return r.exceeded }
 
+// HasTransferEncoding reports whether the latest head has a Transfer-Encoding field, which net/http takes out of the header before it can be
+// seen.
+func (r *Reader) HasTransferEncoding() bool { return r.hasEncoding }
+
 // Read implements io.Reader. It returns ErrTooLarge when a limit is exceeded.
 func (r *Reader) Read(p []byte) (int, error) {
 	if !r.active {
@@ -96,6 +108,7 @@
 			length = len(p)
 		}
 		r.bytesLeft -= int64(length)
+		r.matchEncoding(p[:length])
 		blank := isBlank(p[:length])
 		switch {
 		case end < 0:
@@ -111,5 +124,26 @@
 	r.exceeded = r.exceeded || r.limits.Bytes > 0 && r.bytesLeft < 0 || r.limits.Lines > 0 && r.linesLeft < 0
 }
 
+// matchEncoding looks for encodingField at the begin of a line, of which part is the next part.
+func (r *Reader) matchEncoding(part []byte) {
+	for _, b := range part {
+		if r.encodingMatched < 0 || r.encodingMatched == len(encodingField) {
+			break
+		}
+		if 'A' <= b && b <= 'Z' {
+			b += 'a' - 'A'
+		}
+		if b != encodingField[r.encodingMatched] {
+			r.encodingMatched = -1
+			break
+		}
+		r.encodingMatched++
+	}
+	r.hasEncoding = r.hasEncoding || r.encodingMatched == len(encodingField)
+	if part[len(part)-1] == '\n' {
+		r.encodingMatched = 0
+	}
+}
+
 // isBlank reports whether a part of a line has no other bytes than those of a line end.
 func isBlank(p []byte) bool { return len(bytes.TrimRight(p, "\r\n")) == 0 }
--- a/internal/headlimit/headlimit_test.go
+++ b/internal/headlimit/headlimit_test.go
@@ -56,6 +56,26 @@
 					So(data, ShouldEqual, body)
 				}
 			})
+			Convey("is known to have Transfer-Encoding or not", func() {
+				for text, want := range map[string]bool{
+					"HTTP/1.0 200 OK\r\ntransfer-ENCODING: chunked\r\n\r\n":                          true,
+					"HTTP/1.0 200 OK\nA: b\nTransfer-Encoding:x\nB: c\n\n":                           true,
+					"HTTP/1.0 200 OK\r\nTransfer-Encodings: 1\r\nTransfer: 1\r\n\r\n":                false,
+					"HTTP/1.0 200 OK\r\nX: Transfer-Encoding: 1\r\n\r\nTransfer-Encoding: 1\r\n\r\n": false,
+				} {
+					source = NewReader(part(strings.NewReader(text + head + body)))
+					in = bufio.NewReader(source)
+					source.Begin(Limits{}, nil)
+					_, err := http.ReadResponse(in, &http.Request{Method: "HEAD"})
+					So(err, ShouldBeNil)
+					So(source.HasTransferEncoding(), ShouldEqual, want)
+					if want { // and the next head has none
+						buffered, _ := in.Peek(in.Buffered())
+						source.Next(buffered)
+						So(source.HasTransferEncoding(), ShouldBeFalse)
+					}
+				}
+			})
 			Convey("is refused one byte above the limit", func() {
 				source.Begin(Limits{Bytes: int64(len(head)) - 1}, nil)
 				_, err := read(source, in)
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -193,6 +193,9 @@
 		if err == nil {
 			err = answercheck.Head(resp.StatusCode, resp.Header)
 		}
+		if err == nil {
+			err = answercheck.Version(resp, ex.conn.heads.HasTransferEncoding())
+		}
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
