Broken answers: 304 of the configuration service is asked for in its query

The check of 206 and 304 against the request also held for the clients of the store and of the configuration service. The latter answers 304 to a condition in the query (newer_than), not in a field, so that the configuration could not be read: a sound answer taken for a broken one.

Change: answercheck.Requested holds 206 and 304 against the request where answers are passed on (mesh, daemon's backend server and peers); answercheck.Content, which every transport checks, is left with 204 and 205.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -108,8 +108,9 @@
 	d.workers = workgroup.New()
 	d.ctx = d.workers.Context()
 	d.peers = d.newTransport(peerIdleConnections)
+	d.peers.SetCheck(answercheck.Requested)
 	d.backend = d.newTransport(backendIdleConnections)
-	d.backend.SetCheck(checkRun)
+	d.backend.SetCheck(checkAnswer)
 	d.control = exchange.NewClient(opts.Network.DialContext)
 	return d
 }
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -307,12 +307,12 @@
 	return class
 }
 
-// checkRun returns an error if an answer of the backend server contradicts itself about the run of its call.
-func checkRun(resp *http.Response) error {
+// checkAnswer returns an error if an answer of the backend server contradicts itself about the run of its call, or was not asked for.
+func checkAnswer(resp *http.Response) error {
 	if class, defect := answerclass.Classify(runHead(resp)); class == answerclass.Broken {
 		return answercheck.Contradiction(resp.StatusCode, defect)
 	}
-	return nil
+	return answercheck.Requested(resp)
 }
 
 // backendFailureCode returns the code of a call without a complete answer from the
--- a/mesh/answer.go
+++ b/mesh/answer.go
@@ -56,7 +56,7 @@
 	if a.answer.More {
 		length++
 	}
-	return answercheck.Content(&http.Response{StatusCode: a.answer.Status, Header: a.header, ContentLength: length, Request: r})
+	return answercheck.Fits(&http.Response{StatusCode: a.answer.Status, Header: a.header, ContentLength: length, Request: r})
 }
 
 // holdPart counts a part of an answer in the memory budget, until release is called.
--- a/mesh/local.go
+++ b/mesh/local.go
@@ -287,7 +287,7 @@
 	if class == answerclass.Broken {
 		err = answercheck.Contradiction(ex.response.StatusCode, defect)
 	} else {
-		err = answercheck.Content(ex.response)
+		err = answercheck.Fits(ex.response)
 	}
 	if err != nil {
 		ex.fail(err)
