--- a/core/answerclass/answerclass.go
+++ b/core/answerclass/answerclass.go
@@ -10,8 +10,8 @@
 	NotNamedInstance bool
 	// StatesNotRun says that the answer bears the statement that the request was not run.
 	StatesNotRun bool
-	// Sealed says that the answer bears the seal of a run.
-	Sealed bool
+	// Signed says that the answer bears the signature of a run.
+	Signed bool
 }
 
 // Class is what an answer says about its request.
@@ -41,8 +41,8 @@
 const (
 	// UnstatedRefusal: the status says that the request was not run, and the statement is missing.
 	UnstatedRefusal Defect = "unstated_refusal"
-	// UnsealedSuccess: a success without a seal.
-	UnsealedSuccess Defect = "unsealed_success"
+	// UnsignedSuccess: a success without a signature.
+	UnsignedSuccess Defect = "unsigned_success"
 	// RefusedSuccess: a success with the statement that the request was not run.
 	RefusedSuccess Defect = "refused_success"
 )
@@ -52,8 +52,8 @@
 	switch d {
 	case UnstatedRefusal:
 		return "without the statement that the request was not run"
-	case UnsealedSuccess:
-		return "without a seal"
+	case UnsignedSuccess:
+		return "without a signature"
 	case RefusedSuccess:
 		return "with the statement that the request was not run"
 	}
@@ -65,14 +65,14 @@
 	switch {
 	case h.Success && h.StatesNotRun:
 		return Broken, RefusedSuccess
-	case h.NotNamedInstance && (h.StatesNotRun || !h.Sealed):
+	case h.NotNamedInstance && (h.StatesNotRun || !h.Signed):
 		return Misdirected, ""
 	case h.StatesNotRun:
 		return NotRun, ""
 	case h.NotNamedInstance, h.GuaranteesNotRun:
 		return Broken, UnstatedRefusal
-	case h.Success && !h.Sealed:
-		return Broken, UnsealedSuccess
+	case h.Success && !h.Signed:
+		return Broken, UnsignedSuccess
 	case h.ServerError:
 		return Failed, ""
 	}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -292,13 +292,13 @@
 }
 
 // runHead reads what an answer of the backend server says about the run of its call. Statuses promise nothing on this interface,
-// and answers bear no seal.
+// and answers bear no signature.
 func runHead(resp *http.Response) answerclass.Head {
 	return answerclass.Head{
 		Success:      resp.StatusCode/100 == 2,
 		ServerError:  resp.StatusCode >= http.StatusInternalServerError,
 		StatesNotRun: resp.Header.Get(callmeta.HeaderRefused) != "",
-		Sealed:       true,
+		Signed:       true,
 	}
 }
 
--- a/mesh/peerroom_test.go
+++ b/mesh/peerroom_test.go
@@ -21,7 +21,7 @@
 type matchingConvention struct{ conventionStub }
 
 func (matchingConvention) Answer(string, int, http.Header) AnswerHead {
-	return AnswerHead{MatchesRequest: true, Run: answerclass.Head{Success: true, Sealed: true}}
+	return AnswerHead{MatchesRequest: true, Run: answerclass.Head{Success: true, Signed: true}}
 }
 
 // heldBackend is a backend server that answers no request before release is closed.
