mesh: no Content-Length in a 204 or 304 that is passed on

What callers saw: Content-Length: 0 in the head of each 204 and 304 of a backend server. RFC 9110, 8.6, forbids it for 204, and in a 304 it states a length of 0 for content that was not sent. Found while the framing of such answers was tested; no rule of the users names it.

Cause: deliver states the length of the body that it has for each answer that came in one part.

Change: not for 204 and 304.

--- a/mesh/answer.go
+++ b/mesh/answer.go
@@ -91,6 +91,12 @@
 	return err
 }
 
+// hasOwnLength reports whether an answer of the status states the length of its content. A 204 has none, and a 304 may only state that of the content which
+// was not sent (RFC 9110, 8.6).
+func hasOwnLength(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // deliver passes the answer on to the caller. If the answer is cut short, the caller's
 // connection is closed, so that the answer can't seem complete.
 func (c *callerRequest) deliver(a *pendingAnswer) {
@@ -99,7 +105,7 @@
 		h[name] = values
 	}
 	c.daemon.convention.Restore(c.head.ID, h)
-	if !a.answer.More && c.r.Method != http.MethodHead {
+	if !a.answer.More && c.r.Method != http.MethodHead && hasOwnLength(a.answer.Status) {
 		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	}
 	if err := c.writeParts(a); err != nil {
