TestCallerLeavesWithManyRequests no longer takes a pause for the end of the answers

Shown by a forced order: with a handler that takes 450 ms the test fails with sendRaw (0 of 320) and passes with this change (320 of 320).

Change: sendRawAwaiting waits for each of an expected number of responses for up to 10 s, and then as before for 400 ms, so that a response too many is still found. All checks stay.

--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -78,6 +78,11 @@
 // sendRaw sends bytes and returns the responses received until the connection ends or no
 // further one begins within 400 ms. closed is set when the connection has ended.
 func sendRaw(t *testing.T, address, text string) (responses []string, closed bool) {
+	return sendRawAwaiting(t, address, text, 0)
+}
+
+// sendRawAwaiting is sendRaw, but waits for each of the first responses for up to 10 s.
+func sendRawAwaiting(t *testing.T, address, text string, first int) (responses []string, closed bool) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -86,7 +91,11 @@
 	_, _ = io.WriteString(c, text)
 	br := bufio.NewReader(c)
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(400 * time.Millisecond))
+		pause := 400 * time.Millisecond
+		if len(responses) < first {
+			pause = 10 * time.Second
+		}
+		_ = c.SetReadDeadline(time.Now().Add(pause))
 		r, err := http.ReadResponse(br, nil)
 		if err != nil {
 			netErr, isNetErr := err.(net.Error)
@@ -174,7 +183,7 @@
 	}
 	Convey("All pipelined requests of a caller that stays are answered", t, func() {
 		address, _ := startServer(t, &recorder{delay: 10 * time.Millisecond}, Limits{})
-		responses, _ := sendRaw(t, address, strings.Repeat("GET /a"+versionAndHost+"\r\n", 20*maxInFlight))
+		responses, _ := sendRawAwaiting(t, address, strings.Repeat("GET /a"+versionAndHost+"\r\n", 20*maxInFlight), 20*maxInFlight)
 		So(responses, ShouldHaveLength, 20*maxInFlight)
 	})
 }
